--- a/peathall/fleet/planner.py
+++ b/peathall/fleet/planner.py
@@ -65,14 +65,14 @@
     short: list[tuple[JobView, int]],
     coming: list[Offer],
     offers: list[Offer],
-) -> dict[Offer, int]:
+) -> list[tuple[Offer, int]]:
     """New machines for the tasks that neither have room nor find it on machines coming up.
 
     `offers` leaves out what the cloud has just refused. Jobs come in their order of
     importance.
     """
     bins = [Bin(offer) for offer in coming]
-    rent: dict[Offer, int] = {}
+    rent: dict[tuple[str, str, bool], int] = {}
     for job, count in short:
         spec = job.spec
         usable = [o for o in offers if suits(o, spec)]
@@ -108,6 +108,7 @@
                 break
             fresh.put(spec, fit)
             bins.append(fresh)
-            rent[offer] = rent.get(offer, 0) + 1
+            rent[offer.key] = rent.get(offer.key, 0) + 1
             count -= fit
-    return rent
+    by_key = {offer.key: offer for offer in offers}
+    return [(by_key[key], count) for key, count in rent.items()]
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -281,7 +281,7 @@
             if self.refused.get(o.key, -1e9) < now
         ]
         rent = plan_rentals(self.short, [o for o in coming if o is not None], offers)
-        for offer, count in rent.items():
+        for offer, count in rent:
             self.number += 1
             # The term makes the name unique for good, whoever leads later.
             request = f"r-{self.books.term}-{self.number}"
--- a/peathall/leadership/election.py
+++ b/peathall/leadership/election.py
@@ -182,6 +182,8 @@
             for result in results:
                 if isinstance(result, Exception):
                     log.error("the reign ended by an error", exc_info=result)
+                    # Give the others a turn rather than fail at once again.
+                    self.rest_until = self.loop.time() + c.REST_S
             log.info("no longer leading term %d", mandate.term)
 
     async def _renew(self, mandate: Mandate) -> None:
