--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -40,7 +40,9 @@
 SUSPECT_REPORTS = 3.0  # missed report intervals; no new work goes to such a machine (DESIGN)
 LOST_REPORTS = 5.0  # missed report intervals; then deleting it frees its tasks before its lease
 HEARD_SHARE = 0.6  # of the machines must be heard before silence is blamed on the machine
-CHECKIN_HOLD_S = 1.5  # s; a check-in that meets a leader still reading its records waits (4 s limit)
+CHECKIN_HOLD_S = (
+    1.5  # s; a check-in that meets a leader still reading its records waits (4 s limit)
+)
 SICK_JOBS = 2  # different jobs that failed in a row on a machine before it is emptied
 ERROR_BACKOFF_S = 2.0  # s; doubled with each failure of a job, so that a broken one is slowed
 ERROR_BACKOFF_MAX_S = 60.0  # s; a mistaken job stays until its user cancels it
--- a/peathall/fleet/planner.py
+++ b/peathall/fleet/planner.py
@@ -88,7 +88,9 @@
                     if b.offer.zone == zone and suits(b.offer, spec)
                 )
 
-            home = max(zones, key=lambda z: (min(room_in(z), count), any(o.zone == z for o in usable)))
+            home = max(
+                zones, key=lambda z: (min(room_in(z), count), any(o.zone == z for o in usable))
+            )
             usable = [o for o in usable if o.zone == home]
             mine = [b for b in bins if b.offer.zone == home]
         else:
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -79,9 +79,12 @@
 
     async def rent(self, request: str, offer: Offer, count: int) -> list[str]:
         wire = {
-            "hire": request, "build": offer.type.name, "ward": offer.zone,
-            "standby": offer.spot, "how_many": count,
-        }  # fmt: skip
+            "hire": request,
+            "build": offer.type.name,
+            "ward": offer.zone,
+            "standby": offer.spot,
+            "how_many": count,
+        }
         return [str(x) for x in (await self._ask("POST", "/hosts", wire))["halls"]]
 
     async def delete(self, machines: list[str]) -> None:
@@ -272,9 +275,11 @@
             await self._request(request, offer, count)
         if not self.listed_once:
             return
-        coming = [self._offer(m) for m in self.books.machines.values()
-                  if m.phase is MachinePhase.BOOTING or (
-                      m.phase is MachinePhase.UP and not m.confirmed)]  # fmt: skip
+        coming = [
+            self._offer(m)
+            for m in self.books.machines.values()
+            if m.phase is MachinePhase.BOOTING or (m.phase is MachinePhase.UP and not m.confirmed)
+        ]
         offers = [
             o
             for o in all_offers(list(self.books.types.values()))
@@ -310,8 +315,14 @@
             self.unsure.remove(entry)
         if len(got) < count:
             self.refused[offer.key] = self.loop.time() + c.NO_CAPACITY_S
-        log.info("rented %d of %d %s in %s%s", len(got), count, offer.type.name, offer.zone,
-                 " (spot)" if offer.spot else "")  # fmt: skip
+        log.info(
+            "rented %d of %d %s in %s%s",
+            len(got),
+            count,
+            offer.type.name,
+            offer.zone,
+            " (spot)" if offer.spot else "",
+        )
         now = self.loop.time()
         for name in got:
             if name not in self.books.deleted:
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -59,9 +59,17 @@
 
 class Job:
     __slots__ = (
-        "attempts", "backoff_until", "done", "failures", "phase", "settling", "spec", "stored",
-        "todo", "writing",
-    )  # fmt: skip
+        "attempts",
+        "backoff_until",
+        "done",
+        "failures",
+        "phase",
+        "settling",
+        "spec",
+        "stored",
+        "todo",
+        "writing",
+    )
 
     def __init__(self, spec: JobSpec) -> None:
         self.spec = spec
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -290,7 +290,7 @@
             try:
                 result = await self.store.watch(records.JOB, revision)
                 if result is None:
-                    items, revision = await self.store.list(records.JOB)
+                    items, revision = await self.store.scan(records.JOB)
                     for item in items:
                         await self._adopt_news(item)
                     continue
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -106,8 +106,10 @@
             self.ready.set()
             log.info(
                 "term %d serves: %d jobs, %d machines known",
-                self.books.term, len(self.books.jobs), len(self.books.machines),
-            )  # fmt: skip
+                self.books.term,
+                len(self.books.jobs),
+                len(self.books.machines),
+            )
             for coro in (
                 self.jobs.follow(revision),
                 self.placement.run(),
@@ -134,10 +136,10 @@
         while True:
             try:
                 types = await self.store.get(TYPES)
-                jobs, revision = await self.store.list(records.JOB)
-                fates, _ = await self.store.list(records.FATE)
-                done, _ = await self.store.list(records.DONE)
-                rounds, _ = await self.store.list(ROUND)
+                jobs, revision = await self.store.scan(records.JOB)
+                fates, _ = await self.store.scan(records.FATE)
+                done, _ = await self.store.scan(records.DONE)
+                rounds, _ = await self.store.scan(ROUND)
                 break
             except StoreError as exc:
                 log.info("reading the records: %s", exc)
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -65,9 +65,14 @@
     # --- leading -------------------------------------------------------------
     async def _lead(self, mandate: Mandate) -> None:
         leader = Leader(
-            self.settings, self.operator, self.store, self.cloud, mandate,
-            self.election.may_act, self.election.depose,
-        )  # fmt: skip
+            self.settings,
+            self.operator,
+            self.store,
+            self.cloud,
+            mandate,
+            self.election.may_act,
+            self.election.depose,
+        )
         self.leader = leader
         try:
             await leader.run()
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -22,8 +22,16 @@
     """An attempt that could be stopped to make room."""
 
     __slots__ = (
-        "cpus", "gang_key", "gpus", "guaranteed", "key", "lost", "priority", "ram", "team",
-    )  # fmt: skip
+        "cpus",
+        "gang_key",
+        "gpus",
+        "guaranteed",
+        "key",
+        "lost",
+        "priority",
+        "ram",
+        "team",
+    )
 
     def __init__(
         self,
@@ -46,9 +54,20 @@
 
 class MachineView:
     __slots__ = (
-        "coming", "cpus", "free", "gpus", "images", "name", "pulling", "ram", "spot", "stale",
-        "type", "victims", "zone",
-    )  # fmt: skip
+        "coming",
+        "cpus",
+        "free",
+        "gpus",
+        "images",
+        "name",
+        "pulling",
+        "ram",
+        "spot",
+        "stale",
+        "type",
+        "victims",
+        "zone",
+    )
 
     def __init__(
         self,
@@ -88,8 +107,14 @@
 
 class JobView:
     __slots__ = (
-        "covered", "latest_start", "lingering", "running_zones", "spec", "submitted", "todo",
-    )  # fmt: skip
+        "covered",
+        "latest_start",
+        "lingering",
+        "running_zones",
+        "spec",
+        "submitted",
+        "todo",
+    )
 
     def __init__(
         self,
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -195,19 +195,29 @@
             lost = min(ran, spec.save_s) if spec.checkpoint_s else ran
             victims.append(
                 Victim(
-                    (job_id, task), job_id if spec.gang else None, need, spec.priority, spec.team,
-                    job_id in covered, lost,
-                )  # fmt: skip
+                    (job_id, task),
+                    job_id if spec.gang else None,
+                    need,
+                    spec.priority,
+                    spec.team,
+                    job_id in covered,
+                    lost,
+                )
             )
         report_s = self.params.workers.report_s * 1.25  # reports come up to a quarter late
         return MachineView(
-            machine.name, machine.type, machine.zone, machine.spot,
+            machine.name,
+            machine.type,
+            machine.zone,
+            machine.spot,
             (machine.cpus, machine.gpus, machine.ram),
             (machine.free_cpus, machine.free_gpus, machine.free_ram),
-            machine.images, machine.fetching(),
+            machine.images,
+            machine.fetching(),
             int(self.workers.silence(machine, now) / report_s),
-            (coming[0], coming[1], coming[2]), victims,
-        )  # fmt: skip
+            (coming[0], coming[1], coming[2]),
+            victims,
+        )
 
     def _preempt(self, job_id: str, task: int, now: float) -> None:
         job = self.books.jobs.get(job_id)
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -120,7 +120,7 @@
             return None
         raise StoreError(f"get {key}: {status}")
 
-    async def list(self, prefix: str) -> tuple[list[Item], int]:
+    async def scan(self, prefix: str) -> tuple[list[Item], int]:
         """All keys with the prefix, and the revision from which to watch on."""
         items: list[Item] = []
         after, revision = "", None
--- a/peathall/wire/http.py
+++ b/peathall/wire/http.py
@@ -15,11 +15,19 @@
 log = logging.getLogger("peathall.http")
 
 REASONS = {
-    200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found",
-    405: "Method Not Allowed", 409: "Conflict", 421: "Misdirected Request",
-    422: "Unprocessable Content", 429: "Too Many Requests", 500: "Internal Server Error",
-    503: "Service Unavailable", 504: "Gateway Timeout",
-}  # fmt: skip
+    200: "OK",
+    201: "Created",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    421: "Misdirected Request",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
 
 
 class Request:
--- a/peathall/wire/names.py
+++ b/peathall/wire/names.py
@@ -115,9 +115,15 @@
     except msgspec.ValidationError as exc:
         raise MalformedError(str(exc)) from None
     amounts = (
-        job.vcpus, job.cards, job.ram_gb, job.image_gb,
-        job.reckon_s, job.tally_s, job.stow_s, job.due_s or 0.0,
-    )  # fmt: skip
+        job.vcpus,
+        job.cards,
+        job.ram_gb,
+        job.image_gb,
+        job.reckon_s,
+        job.tally_s,
+        job.stow_s,
+        job.due_s or 0.0,
+    )
     if not all(math.isfinite(x) for x in amounts):
         raise MalformedError("an amount is not finite")
     return JobSpec(
@@ -231,9 +237,17 @@
     except (msgspec.ValidationError, ValueError) as exc:
         raise MalformedError(str(exc)) from None
     return Report(
-        machine=wire.hall, addr=wire.endpoint, type=wire.build, zone=wire.ward, spot=wire.standby,
-        session=wire.tenure, seq=wire.tick, token=wire.mandate, notice_s=wire.recall_s, tasks=tasks,
-    )  # fmt: skip
+        machine=wire.hall,
+        addr=wire.endpoint,
+        type=wire.build,
+        zone=wire.ward,
+        spot=wire.standby,
+        session=wire.tenure,
+        seq=wire.tick,
+        token=wire.mandate,
+        notice_s=wire.recall_s,
+        tasks=tasks,
+    )
 
 
 def start_order(job: str, task: int, attempt: int) -> dict[str, Any]:
@@ -242,8 +256,11 @@
 
 def stop_order(job: str, task: int, attempt: int, grace: float) -> dict[str, Any]:
     return {
-        "writ": "stop", "parcel": task_to_wire(job, task), "try": attempt, "leave_s": grace,
-    }  # fmt: skip
+        "writ": "stop",
+        "parcel": task_to_wire(job, task),
+        "try": attempt,
+        "leave_s": grace,
+    }
 
 
 def forget_order(job: str, task: int, attempt: int) -> dict[str, Any]:
--- a/peathall/workers/model.py
+++ b/peathall/workers/model.py
@@ -20,11 +20,32 @@
 
 class Machine:
     __slots__ = (
-        "addr", "attempts", "born", "confirmed", "cpus", "failed_jobs", "free_cpus", "free_gpus",
-        "free_ram", "gpus", "idle_since", "images", "last_answer", "last_heard", "listed_at",
-        "name", "phase", "ram", "seq", "session", "spot", "taken_at", "type", "why_draining",
+        "addr",
+        "attempts",
+        "born",
+        "confirmed",
+        "cpus",
+        "failed_jobs",
+        "free_cpus",
+        "free_gpus",
+        "free_ram",
+        "gpus",
+        "idle_since",
+        "images",
+        "last_answer",
+        "last_heard",
+        "listed_at",
+        "name",
+        "phase",
+        "ram",
+        "seq",
+        "session",
+        "spot",
+        "taken_at",
+        "type",
+        "why_draining",
         "zone",
-    )  # fmt: skip
+    )
 
     def __init__(self, name: str, type_: str, zone: str, spot: bool, phase: MachinePhase) -> None:
         self.name = name
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -30,7 +30,7 @@
 class Exits:
     """Exited attempts still in a machine's reports, kept until they may be forgotten."""
 
-    __slots__ = ("done", "direct_token", "job", "number", "task")
+    __slots__ = ("direct_token", "done", "job", "number", "task")
 
     def __init__(self, job: str, task: int, number: int, done: bool, direct_token: int) -> None:
         self.job = job
@@ -198,8 +198,13 @@
         number = attempt.number
         self.books.release(attempt, now)
         if item.why is not Why.DONE:
-            log.info("task %s/%d ended on %s: %s", job.spec.id, attempt.task, machine.name,
-                     item.why.value if item.why else "?")  # fmt: skip
+            log.info(
+                "task %s/%d ended on %s: %s",
+                job.spec.id,
+                attempt.task,
+                machine.name,
+                item.why.value if item.why else "?",
+            )
         if item.why is Why.ERROR:
             self._failed(machine, job, now)
         elif item.why in (Why.NO_ROOM, Why.BUSY, Why.UNKNOWN):
--- a/run.py
+++ b/run.py
@@ -5,7 +5,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent / "target" / "deps"))
 
-from peathall.cli import main  # noqa: E402  (the path must be set first)
+from peathall.cli import main
 
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/tests/unit/test_settings.py
@@ -0,0 +1,97 @@
+"""Settings: what is unknown is ignored, what is wrong ends the start with one line."""
+
+from pathlib import Path
+
+import pytest
+
+from peathall import cli, settings
+
+TEXT = """
+member = "hall-0"
+location = "a"
+api_addr = "127.0.0.1:8080"
+back = "127.0.0.1:8081"
+novelty = 1
+[[known]]
+member = "hall-1"
+location = "b"
+endpoint = "127.0.0.1:8082"
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[params]
+size = 3
+zones = ["a"]
+clock_off_ms = 5
+[[params.teams]]
+name = "t"
+gpus = 8
+[[params.objectives]]
+kind = "wait"
+class = "c"
+within_s = 9
+share = 0.8
+[params.workers]
+report_s = 3.0
+lease_s = 22.0
+gang_wait_s = 40.0
+gang_peer_s = 8.0
+cancel_s = 42.0
+[params.state]
+rps = 150.0
+write_rps = 50.0
+value_kb = 16.0
+txn_ops = 16
+[params.cloud]
+rps = 4.0
+list_lag_s = 4.0
+"""
+
+
+def test_good_settings_are_read() -> None:
+    config = settings.parse(TEXT)
+    assert config.name == "hall-0"
+    assert config.peers[0].addr == "127.0.0.1:8082"
+    assert config.params.teams[0].gpus == 8.0
+    assert config.params.objectives[0].class_name == "c"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ('member = "hall-0"\n', "", "member"),
+        ("rps = 150.0", 'rps = "many"', "rps"),
+        ("lease_s = 22.0", "lease_s = 0", "lease_s"),
+        ('state = "127.0.0.1:2"', 'state = "nowhere"', "state"),
+        ('member = "hall-1"', 'member = "hall-0"', "member"),
+        ("[services]", "[services", "TOML"),
+    ],
+)
+def test_wrong_settings_end_the_start_with_one_line(
+    old: str, new: str, named: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "x.toml"
+    path.write_text(TEXT.replace(old, new, 1))
+    assert cli.main(["--config", str(path), "--check"]) == 2
+    err = capsys.readouterr().err
+    assert named in err
+    assert err.count("\n") == 1
+
+
+def test_operator_settings_are_protobuf_text(tmp_path: Path) -> None:
+    path = tmp_path / "operator.txtpb"
+    path.write_text('fields { key: "idle_hold_s" value { number_value: 30 } }\n')
+    assert settings.load_operator(str(path)).idle_hold_s == 30.0
+    path.write_text('fields { key: "idle_hold_s" value { number_value: -1 } }\n')
+    with pytest.raises(settings.SettingsError):
+        settings.load_operator(str(path))
+    path.write_text("not { this")
+    with pytest.raises(settings.SettingsError):
+        settings.load_operator(str(path))
+
+
+def test_check_accepts_good_settings(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    path = tmp_path / "x.toml"
+    path.write_text(TEXT)
+    assert cli.main(["--config", str(path), "--check"]) == 0
+    assert "in order" in capsys.readouterr().out
--- /dev/null
+++ b/tests/unit/test_wire.py
@@ -0,0 +1,96 @@
+"""Malformed bodies and the limits of fields."""
+
+import math
+from typing import Any
+
+import cbor2
+import pytest
+
+from peathall.wire import body, names
+
+GOOD: dict[str, Any] = {
+    "id": "j-000412", "docket": "train", "desk": "vision", "shape": "ensemble",
+    "precedence": "high", "parcels": 16, "vcpus": 8.0, "cards": 1, "ram_gb": 64.0,
+    "kit": "img-07", "image_gb": 6.2, "builds": ["g8"], "ward": None, "together": True,
+    "scatter": False, "standby": True, "reckon_s": 240.0, "tally_s": 30.0, "stow_s": 4.0,
+    "due_s": 900.0,
+}  # fmt: skip
+
+
+def test_a_job_is_translated_and_survives_its_record() -> None:
+    spec = names.job_from_wire(GOOD | {"not_known_yet": 1}, 5.0)
+    assert (spec.class_name, spec.team, spec.gang, spec.priority) == ("train", "vision", True, 1)
+    assert (spec.image, spec.types, spec.one_zone, spec.spot) == ("img-07", ["g8"], True, True)
+    record = cbor2.loads(cbor2.dumps(names.spec_to_record(spec)))
+    assert names.spec_from_record(record) == spec
+
+
+@pytest.mark.parametrize("missing", ["builds", "ward", "due_s"])
+def test_fields_that_may_be_null_may_be_missing(missing: str) -> None:
+    raw = {k: v for k, v in GOOD.items() if k != missing}
+    assert names.job_from_wire(raw, 0.0) == names.job_from_wire(GOOD | {missing: None}, 0.0)
+
+
+BAD = [
+    {"id": "job-1"}, {"id": "j-"}, {"id": 7}, {"id": "j-1\n"}, {"parcels": 0},
+    {"parcels": 100_001}, {"parcels": 2.5}, {"parcels": True}, {"vcpus": -1.0},
+    {"vcpus": math.nan}, {"ram_gb": math.inf}, {"shape": "daemon"}, {"precedence": "urgent"},
+    {"together": 1}, {"builds": "g8"}, {"builds": [1]}, {"kit": ""}, {"due_s": "soon"},
+    {"cards": None},
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("change", BAD, ids=repr)
+def test_invalid_fields_are_malformed(change: dict[str, Any]) -> None:
+    with pytest.raises(body.MalformedError):
+        names.job_from_wire(GOOD | change, 0.0)
+
+
+@pytest.mark.parametrize("field", [k for k in GOOD if k not in ("builds", "ward", "due_s")])
+def test_missing_fields_are_malformed(field: str) -> None:
+    with pytest.raises(body.MalformedError):
+        names.job_from_wire({k: v for k, v in GOOD.items() if k != field}, 0.0)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"\xff\xff",
+        b"\xa1",
+        cbor2.dumps([1]),
+        cbor2.dumps({1: 2}),
+        b"\x81" * 5000,
+        b"x" * 70000,
+    ],
+)
+def test_garbage_is_no_map(raw: bytes) -> None:
+    with pytest.raises(body.MalformedError):
+        body.cbor_map(raw)
+
+
+def test_reports_are_translated() -> None:
+    report = names.report_from_wire(
+        {
+            "hall": "m-1", "endpoint": "10.1.0.2:9000", "build": "g8", "ward": "a",
+            "standby": True, "tenure": 1, "tick": 88, "mandate": 41, "recall_s": None,
+            "parcels": [
+                {"parcel": "j-0/3", "try": 2, "standing": "running"},
+                {"parcel": "j-1/0", "try": 1, "standing": "exited", "cause": "done"},
+                {"parcel": "j-1/1", "try": 1, "standing": "exited", "cause": "a new one"},
+            ],
+        }
+    )  # fmt: skip
+    assert [(t.job, t.task, t.why) for t in report.tasks] == [
+        ("j-0", 3, None),
+        ("j-1", 0, names.Why.DONE),
+        ("j-1", 1, names.Why.ERROR),
+    ]
+
+
+@pytest.mark.parametrize(
+    "task", [{"parcel": "x", "try": 1, "standing": "running"}, {"parcel": "j-1/0", "try": 1}]
+)
+def test_garbled_reports_are_malformed(task: dict[str, Any]) -> None:
+    with pytest.raises(body.MalformedError):
+        names.report_from_wire({"hall": "m-1", "tenure": 1, "tick": 1, "parcels": [task]})
