--- a/peathall/jobs/ranges.py
+++ b/peathall/jobs/ranges.py
@@ -44,6 +44,8 @@
 
     def remove(self, low: int, high: int | None = None) -> None:
         high = low + 1 if high is None else high
+        if low >= high:
+            return  # an empty range must not cut a span in two
         result = []
         for a, b in self.spans:
             if b <= low or a >= high:
