--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import logging
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
 
 from peathall import constants as c
 from peathall.books import Books
+from peathall.fleet.account import Account
 from peathall.fleet.planner import Offer, all_offers, plan_rentals
+from peathall.jobs.model import JobPhase
 from peathall.placement.planner import JobView
 from peathall.settings import CloudSettings, Params, WorkerSettings
 from peathall.store.budget import Budget
@@ -101,7 +104,7 @@
         workers: Workers,
         may_act: Callable[[], bool],
         on_change: Callable[[], None],
-        idle_hold_s: float,
+        idle_hold_s: float | None,
     ) -> None:
         self.books = books
         self.params = params
@@ -112,6 +115,7 @@
         self.may_act = may_act
         self.on_change = on_change
         self.idle_hold_s = idle_hold_s
+        self.guaranteed = any(team.cpus or team.gpus for team in params.teams)
         self.loop = asyncio.get_running_loop()
         self.refused: dict[tuple[str, str, bool], float] = {}
         self.number = 0
@@ -119,6 +123,8 @@
         self.short: list[tuple[JobView, int]] = []
         self.unsure: list[tuple[str, Offer, int]] = []  # rentals without an answer
         self.failed: list[str] = []  # stopped by themselves; to be taken off the list
+        self.account = Account()
+        self.accounted = self.reported = self.loop.time()
         self.listed_once = False
         self.list_at = -1e9
         self.types_at = -1e9
@@ -165,8 +171,21 @@
                 log.info("%s", exc)
                 await asyncio.sleep(c.TICK_S)
 
+    def _account(self, now: float) -> None:
+        self.account.add(list(self.books.machines.values()), self.books.types, now - self.accounted)
+        self.accounted = now
+        if now - self.reported > c.ACCOUNT_S:
+            self.reported = now
+            phases = Counter(m.phase.name.lower() for m in self.books.machines.values())
+            queued: Counter[str] = Counter()
+            for job in self.books.jobs.values():
+                if job.todo and job.phase is JobPhase.ACTIVE:
+                    queued[job.spec.class_name] += len(job.todo)
+            log.info("%s; machines %s; queued %s", self.account.line(), dict(phases), dict(queued))
+
     async def step(self) -> None:
         now = self.loop.time()
+        self._account(now)
         if not self.books.types or now - self.types_at > c.TYPES_S:
             await self._refresh_types(now)
         if now - self.list_at > c.LIST_S:
@@ -236,17 +255,23 @@
         if (
             phase is MachinePhase.UP
             and not machine.attempts
-            and now - machine.idle_since > self.idle_hold_s
-            and not self._wanted_idle(machine)
+            and now - machine.idle_since > self.hold_s(machine)
         ):
             return "idle"
         return ""
 
-    def _wanted_idle(self, machine: Machine) -> bool:
-        """Guaranteed room is held ready, since its teams need not wait for others."""
-        guaranteed = sum(t.gpus for t in self.params.teams)
-        guaranteed_cpus = sum(t.cpus for t in self.params.teams)
-        return (guaranteed > 0 and machine.gpus > 0) or guaranteed_cpus > 0
+    def hold_s(self, machine: Machine) -> float:
+        """How long an idle machine is kept: as long as renting it anew would cost."""
+        if self.idle_hold_s is not None:
+            return self.idle_hold_s
+        if self.guaranteed:
+            return c.GUARANTEED_HOLD_S  # guaranteed teams need not wait: room is held ready
+        size = self.books.types.get(machine.type)
+        if size is None:
+            return c.GUARANTEED_HOLD_S
+        # A spot machine given back may come back only as an ordinary one.
+        dearer = size.price / size.spot_price if machine.spot and size.spot_price else 1.0
+        return c.IDLE_BOOTS * size.boot_s * dearer
 
     async def _return(self) -> None:
         now = self.loop.time()
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -63,9 +63,15 @@
         self.placement = Placement(
             self.books, params, self.writer, self.workers, time.time, self.may_act
         )
-        hold = c.IDLE_HOLD_S if operator.idle_hold_s is None else operator.idle_hold_s
         self.fleet = Fleet(
-            self.books, params, cloud, self.writer, self.workers, self.may_act, self._nudge, hold
+            self.books,
+            params,
+            cloud,
+            self.writer,
+            self.workers,
+            self.may_act,
+            self._nudge,
+            operator.idle_hold_s,
         )
         self.books.on_room = self._nudge
         self.placement.on_short = self._short
