--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -180,6 +180,7 @@
         spec.image not in machine.images,
         spec.image not in machine.pulling,
         machine.stale,
+        not machine.spot,  # the dearer machines fall idle first and are returned
         machine.free[2] - spec.ram,
         machine.free[0] - spec.cpus,
         crc32(f"{spec.id} {machine.name}".encode()),
@@ -316,7 +317,14 @@
             return False
         if victim.priority > job.spec.priority:
             return True
-        return job.covered and not victim.guaranteed and victim.team != job.spec.team
+        # A guarantee may reach above its own priority, but that job would be placed
+        # first again in the next round and the two would stop one another for ever.
+        return (
+            job.covered
+            and not victim.guaranteed
+            and victim.team != job.spec.team
+            and victim.priority == job.spec.priority
+        )
 
     def make_room(self, job: JobView, wanted: int) -> None:
         """Claim room that is or becomes free, and stop others where the rules allow it.
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -235,8 +235,20 @@
         entries: list[list[Any]] = []
         fresh: list[list[Attempt]] = []
         numbers: dict[str, int] = {}
+        wall = self.wall()
         for start in plan.starts:
             job = self.books.jobs[start.job]
+            waited = wall - job.spec.submitted
+            log.info(
+                "%s %s: %d tasks to %s (%s%s) after %.1f s",
+                job.spec.class_name,
+                start.job,
+                start.count,
+                start.machine,
+                self.books.machines[start.machine].type,
+                "" if job.spec.image in self.books.machines[start.machine].images else ", to fetch",
+                waited,
+            )
             number = numbers.get(start.job) or self.books.new_attempt_number()
             numbers[start.job] = number
             tasks = Ranges()
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -156,6 +156,10 @@
             return
         before = attempt.phase
         attempt.enter(PHASE_OF[item.state], now)
+        if before is not attempt.phase:
+            log.debug(
+                "%s/%d is %s on %s", item.job, item.task, attempt.phase.name.lower(), machine.name
+            )
         if item.state is not TaskState.FETCHING and before is not attempt.phase:
             size = self.books.types.get(machine.type)
             machine.saw_image(attempt.job.spec, size.cache_gb if size else 0.0)
