Placement: gangs first in their priority; machines kept for gangs; ordinary ones spared

Cause: on pos rough 32 ordinary survey machines were full of small tasks that could run elsewhere, and parcel-segment, which can run nowhere else, waited minutes.

--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -23,6 +23,7 @@
 
     __slots__ = (
         "cpus",
+        "ends",
         "gang_key",
         "gpus",
         "guaranteed",
@@ -42,6 +43,7 @@
         team: str,
         guaranteed: bool,
         lost: float,
+        ends: float = 0.0,
     ) -> None:
         self.key = key
         self.gang_key = gang_key  # job id if stopping one task ends the whole gang
@@ -50,6 +52,7 @@
         self.team = team
         self.guaranteed = guaranteed  # its job is within its own team's guarantee
         self.lost = lost  # seconds of work that stopping it would lose
+        self.ends = ends  # seconds after which it should end by itself, by its owner's estimate
 
 
 class MachineView:
@@ -59,6 +62,7 @@
         "free",
         "gpus",
         "images",
+        "kept_for",
         "name",
         "pulling",
         "ram",
@@ -94,6 +98,7 @@
         self.stale = stale  # whole report intervals since the last report
         self.coming = list(coming)  # room of attempts that are being stopped
         self.victims = victims or []
+        self.kept_for: float | None = None  # seconds until a gang that waits for it can start
 
     def fits(self, spec: JobSpec) -> int:
         """How many tasks of the job fit into the free room."""
@@ -173,10 +178,12 @@
     )
 
 
-def rank(machine: MachineView, spec: JobSpec) -> tuple[float, ...]:
-    """The paper's order of hosts, with scarce GPUs kept out of it first."""
+def rank(machine: MachineView, spec: JobSpec, keep_ordinary: bool) -> tuple[float, ...]:
+    """The paper's order of hosts, after what is scarce: GPUs, and ordinary machines
+    while there are jobs that may use no others."""
     return (
         machine.gpus,
+        keep_ordinary and not machine.spot,
         spec.image not in machine.images,
         spec.image not in machine.pulling,
         machine.stale,
@@ -208,7 +215,10 @@
 
 
 def order(job: JobView) -> tuple[float, ...]:
-    return (job.spec.priority, not job.covered, job.latest_start, job.spec.submitted)
+    # Gangs go before independent tasks of their priority: those fill any gap that is
+    # left, while a gang would wait for ever for a gap as large as itself.
+    spec = job.spec
+    return (spec.priority, not job.covered, not spec.gang, job.latest_start, spec.submitted)
 
 
 class Round:
@@ -217,7 +227,9 @@
         machines: list[MachineView],
         teams: dict[str, Team],
         usage: dict[str, list[float]],
+        keep_ordinary: bool = False,
     ) -> None:
+        self.keep_ordinary = keep_ordinary
         self.machines = machines
         self.teams = teams
         self.usage = {team: list(use) for team, use in usage.items()}
@@ -248,9 +260,18 @@
         job.running_zones[machine.zone] = job.running_zones.get(machine.zone, 0) + count
         job.todo -= count
 
+    @staticmethod
+    def may_fill(machine: MachineView, spec: JobSpec) -> bool:
+        """On a machine that is kept for a gang, only what ends before that can start."""
+        return machine.kept_for is None or (not spec.gang and spec.estimate_s < machine.kept_for)
+
     def candidates(self, spec: JobSpec) -> list[MachineView]:
-        found = [m for m in self.machines if allowed(m, spec) and m.fits(spec) > 0]
-        found.sort(key=lambda m: rank(m, spec))
+        found = [
+            m
+            for m in self.machines
+            if allowed(m, spec) and self.may_fill(m, spec) and m.fits(spec) > 0
+        ]
+        found.sort(key=lambda m: rank(m, spec, self.keep_ordinary))
         return found
 
     def place(self, job: JobView) -> None:
@@ -345,11 +366,12 @@
                     continue
                 count, victims, cost = self.room_with_victims(machine, job, wanted)
                 if count:
-                    options.append((cost / count, machine.name, machine, count, victims))
-            options.sort(key=lambda x: x[:2])
+                    scarce = (machine.gpus, self.keep_ordinary and not machine.spot)
+                    options.append((*scarce, cost / count, machine.name, machine, count, victims))
+            options.sort(key=lambda x: x[:4])
             chosen: list[tuple[MachineView, int, list[Victim]]] = []
             left, total = wanted, 0.0
-            for cost, _, machine, count, victims in options:
+            for _, _, cost, _, machine, count, victims in options:
                 if left <= 0:
                     break
                 chosen.append((machine, min(count, left), victims))
@@ -359,6 +381,8 @@
                 continue
             if chosen and (best is None or total < best_cost):
                 best, best_cost = chosen, total
+        if best is None and spec.gang:
+            self.keep_machines(job)
         for machine, count, victims in best or ():
             for victim in victims:
                 if victim.key not in self.stopped:
@@ -369,6 +393,29 @@
                 machine.coming[2] += victim.ram
             self.claim(machine, spec, count)
 
+    def keep_machines(self, job: JobView) -> None:
+        """Nothing may be stopped: let the machines that are free soonest run empty."""
+        spec = job.spec
+        best: list[tuple[float, str, MachineView, int]] | None = None
+        for zone in self.zones(spec):
+            options = []
+            for machine in self.machines:
+                if allowed(machine, spec) and zone in (None, machine.zone):
+                    wait, count = free_in(machine, spec)
+                    if count:
+                        options.append((wait, machine.name, machine, count))
+            options.sort(key=lambda x: x[:2])
+            chosen, left = [], spec.tasks
+            for option in options:
+                if left > 0:
+                    chosen.append(option)
+                    left -= option[3]
+            if left <= 0 and (best is None or chosen[-1][0] < best[-1][0]):
+                best = chosen
+        for _, _, machine, _ in best or ():
+            assert best is not None
+            machine.kept_for = best[-1][0]
+
     def room_with_victims(
         self, machine: MachineView, job: JobView, wanted: int
     ) -> tuple[int, list[Victim], float]:
@@ -406,6 +453,20 @@
             machine.free[i] -= need - from_coming
 
 
+def free_in(machine: MachineView, spec: JobSpec) -> tuple[float, int]:
+    """After how many seconds a task of the job fits, if nothing new is placed here."""
+    room = [a + b for a, b in zip(machine.free, machine.coming, strict=True)]
+    wait = 0.0
+    for victim in sorted(machine.victims, key=lambda v: v.ends):
+        if fits_in(room, spec):
+            break
+        room[0] += victim.cpus
+        room[1] += victim.gpus
+        room[2] += victim.ram
+        wait = victim.ends
+    return wait, min(spec.tasks, fits_in(room, spec))
+
+
 def choose(spec: JobSpec, machines: list[MachineView]) -> list[tuple[MachineView, int]] | None:
     """Room for all tasks of a gang, on machines in order of preference; None if too little."""
     cap = (spec.tasks + 1) // 2
@@ -430,8 +491,9 @@
     machines: list[MachineView],
     teams: dict[str, Team],
     usage: dict[str, list[float]],
+    keep_ordinary: bool = False,
 ) -> Plan:
-    current = Round(machines, teams, usage)
+    current = Round(machines, teams, usage, keep_ordinary)
     for job in sorted(jobs, key=order):
         if job.todo > 0:
             current.place(job)
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -135,7 +135,10 @@
             for m in self.books.machines.values()
             if self._usable(m, now)
         ]
-        return make_plan(jobs, machines, self.teams, self.books.usage)
+        strict = any(
+            not j.spec.spot for j in self.books.jobs.values() if j.phase is JobPhase.ACTIVE
+        )
+        return make_plan(jobs, machines, self.teams, self.books.usage, strict)
 
     def _usable(self, machine: Machine, now: float) -> bool:
         silent = self.workers.silence(machine, now)
@@ -202,6 +205,7 @@
                     spec.team,
                     job_id in covered,
                     lost,
+                    max(1.0, spec.estimate_s - ran),
                 )
             )
         report_s = self.params.workers.report_s * 1.25  # reports come up to a quarter late
