--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -119,6 +119,7 @@
         "spec",
         "submitted",
         "todo",
+        "urgent",
     )
 
     def __init__(
@@ -129,12 +130,14 @@
         latest_start: float = 0.0,
         running_zones: dict[str, int] | None = None,
         lingering: bool = False,
+        urgent: bool = True,
     ) -> None:
         self.spec = spec
         self.todo = todo
         self.covered = covered  # within the team's guarantee
         self.latest_start = latest_start  # time of day; past means that the aim is missed
         self.running_zones = running_zones or {}
+        self.urgent = urgent  # an aim is lost unless it starts soon: worth stopping others
         self.lingering = lingering  # a gang with attempts that are not gone yet
 
 
@@ -356,6 +359,8 @@
         spec = job.spec
         if not spec.gang and not job.covered and spec.priority >= self.lowest:
             return  # nobody may be stopped, and independent tasks need no room kept together
+        if not job.urgent and not job.covered:
+            return
         usable = [m for m in self.machines if allowed(m, spec)]
         best: list[tuple[MachineView, int, list[Victim]]] | None = None
         best_cost = 0.0
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -176,13 +176,15 @@
         for attempt in job.attempts.values():
             zone = self.books.machines[attempt.machine].zone
             zones[zone] = zones.get(zone, 0) + 1
+        latest = latest_start(job.spec, self.params.objectives, wall, 0.0)
         return JobView(
             job.spec,
             len(job.todo),
             job.spec.id in covered,
-            latest_start(job.spec, self.params.objectives, wall, 0.0),
+            latest,
             zones,
             lingering=job.spec.gang and bool(job.attempts),
+            urgent=latest - wall < c.URGENT_S,
         )
 
     def _machine_view(self, machine: Machine, now: float, covered: set[str]) -> MachineView:
