--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -44,6 +44,7 @@
     1.5  # s; a check-in that meets a leader still reading its records waits (4 s limit)
 )
 SICK_JOBS = 2  # different jobs that failed in a row on a machine before it is emptied
+AVOID_MACHINES = 3  # machines that a failing job avoids; a mistaken job would avoid them all
 ERROR_BACKOFF_S = 2.0  # s; doubled with each failure of a job, so that a broken one is slowed
 ERROR_BACKOFF_MAX_S = 60.0  # s; a mistaken job stays until its user cancels it
 SAVE_GRACE_S = 3.0  # s; added to the time that a task needs to save
--- a/peathall/fleet/planner.py
+++ b/peathall/fleet/planner.py
@@ -63,54 +63,65 @@
 
 def plan_rentals(
     short: list[tuple[JobView, int]],
-    coming: list[Offer],
+    coming: list[Bin],
+    left: list[Bin],
     offers: list[Offer],
 ) -> list[tuple[Offer, int]]:
-    """New machines for the tasks that neither have room nor find it on machines coming up.
+    """New machines for the tasks that neither have room nor find it in `coming`.
 
-    `offers` leaves out what the cloud has just refused. Jobs come in their order of
-    importance.
+    `coming` is room on machines that are on their way; `left` what the round left over
+    on those that are up. It speaks for a zone, but is not counted on: by the time that
+    new machines are up, others have filled it. `offers` leaves out what the cloud has
+    just refused. Jobs come in their order of importance.
     """
-    bins = [Bin(offer) for offer in coming]
+    bins = list(coming)
     rent: dict[tuple[str, str, bool], int] = {}
     for job, count in short:
         spec = job.spec
         usable = [o for o in offers if suits(o, spec)]
-        if spec.gang and spec.one_zone:
-            zones = list(dict.fromkeys([b.offer.zone for b in bins] + [o.zone for o in usable]))
-            if not zones:
-                continue
-
-            def room_in(zone: str, spec: JobSpec = spec) -> int:
-                return sum(
-                    fits_in(b.free, spec)
-                    for b in bins
-                    if b.offer.zone == zone and suits(b.offer, spec)
-                )
-
-            home = max(
-                zones, key=lambda z: (min(room_in(z), count), any(o.zone == z for o in usable))
+        mine = [b for b in bins if suits(b.offer, spec)]
+        if spec.one_zone:
+            home = next(iter(job.running_zones), None) or home_zone(
+                spec, count, mine + left, usable
             )
             usable = [o for o in usable if o.zone == home]
-            mine = [b for b in bins if b.offer.zone == home]
-        else:
-            mine = list(bins)
+            mine = [b for b in mine if b.offer.zone == home]
+        zones = dict(job.running_zones)
         for held in mine:
-            if count <= 0:
-                break
-            if suits(held.offer, spec):
-                fit = min(fits_in(held.free, spec), count)
+            fit = min(fits_in(held.free, spec), count, zone_room(spec, zones, held.offer.zone))
+            if fit > 0:
                 held.put(spec, fit)
+                zones[held.offer.zone] = zones.get(held.offer.zone, 0) + fit
                 count -= fit
-        while count > 0 and usable:
-            offer = min(usable, key=lambda o: (per_task(o, spec, count), o.spot, o.key))
-            fresh = Bin(offer)
-            fit = min(fits_in(fresh.free, spec), count)
-            if fit <= 0:
+        while count > 0:
+            open_offers = [o for o in usable if zone_room(spec, zones, o.zone) > 0]
+            if not open_offers:
                 break
+            offer = min(open_offers, key=lambda o: (per_task(o, spec, count), o.spot, o.key))
+            fresh = Bin(offer)
+            fit = min(fits_in(fresh.free, spec), count, zone_room(spec, zones, offer.zone))
             fresh.put(spec, fit)
             bins.append(fresh)
+            zones[offer.zone] = zones.get(offer.zone, 0) + fit
             rent[offer.key] = rent.get(offer.key, 0) + 1
             count -= fit
     by_key = {offer.key: offer for offer in offers}
     return [(by_key[key], count) for key, count in rent.items()]
+
+
+def zone_room(spec: JobSpec, zones: dict[str, int], zone: str) -> int:
+    """How many tasks of the job may still go into the zone."""
+    if not spec.spread:
+        return spec.tasks
+    return (spec.tasks + 1) // 2 - zones.get(zone, 0)
+
+
+def home_zone(spec: JobSpec, count: int, bins: list[Bin], offers: list[Offer]) -> str | None:
+    """The zone for all tasks: where most find room already, among those with offers."""
+    zones = list(dict.fromkeys([b.offer.zone for b in bins] + [o.zone for o in offers]))
+
+    def room(zone: str) -> tuple[int, bool]:
+        fits = sum(fits_in(b.free, spec) for b in bins if b.offer.zone == zone)
+        return min(fits, count), any(o.zone == zone for o in offers)
+
+    return max(zones, key=room, default=None)
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -12,7 +12,7 @@
 from peathall import constants as c
 from peathall.books import Books
 from peathall.fleet.account import Account
-from peathall.fleet.planner import Offer, all_offers, plan_rentals
+from peathall.fleet.planner import Bin, Offer, all_offers, plan_rentals
 from peathall.jobs.model import JobPhase
 from peathall.placement.planner import JobView
 from peathall.settings import CloudSettings, Params, WorkerSettings
@@ -121,6 +121,7 @@
         self.number = 0
         self.wake = asyncio.Event()
         self.short: list[tuple[JobView, int]] = []
+        self.leftover: dict[str, list[float]] = {}  # room that the last round left free
         self.unsure: list[tuple[str, Offer, int]] = []  # rentals without an answer
         self.failed: list[str] = []  # stopped by themselves; to be taken off the list
         self.account = Account()
@@ -300,17 +301,22 @@
             await self._request(request, offer, count)
         if not self.listed_once:
             return
-        coming = [
-            self._offer(m)
-            for m in self.books.machines.values()
-            if m.phase is MachinePhase.BOOTING or (m.phase is MachinePhase.UP and not m.confirmed)
-        ]
+        coming, left = [], []
+        for machine in self.books.machines.values():
+            kind = self._offer(machine)
+            waking = machine.phase is MachinePhase.BOOTING or (
+                machine.phase is MachinePhase.UP and not machine.confirmed
+            )
+            if kind is not None and waking:
+                coming.append(Bin(kind))
+            elif kind is not None and machine.name in self.leftover:
+                left.append(Bin(kind, list(self.leftover[machine.name])))
         offers = [
             o
             for o in all_offers(list(self.books.types.values()))
             if self.refused.get(o.key, -1e9) < now
         ]
-        rent = plan_rentals(self.short, [o for o in coming if o is not None], offers)
+        rent = plan_rentals(self.short, coming, left, offers)
         for offer, count in rent:
             self.number += 1
             # The term makes the name unique for good, whoever leads later.
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -62,7 +62,7 @@
         "attempts",
         "backoff_until",
         "done",
-        "failures",
+        "failed_on",
         "phase",
         "settling",
         "spec",
@@ -78,7 +78,7 @@
         self.stored = Ranges()  # those of them that are in the state service
         self.todo = Ranges([(0, spec.tasks)])  # neither done nor attempted
         self.attempts: dict[int, Attempt] = {}
-        self.failures = 0
+        self.failed_on: dict[str, None] = {}  # machines on which its tasks failed, in order
         self.backoff_until = 0.0
         self.writing = False  # done ranges are on their way to the store
         self.settling: asyncio.Future[int] | None = None  # its final state is on its way there
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -147,6 +147,11 @@
         if pending is not None:
             await asyncio.wait([pending])
         job = self.books.jobs.get(job_id)
+        if job is not None and job.settling is not None:
+            # Its final state may be in the store already, where another controller
+            # reads and tells it: an older answer from here would take that back.
+            await asyncio.wait([job.settling])
+            job = self.books.jobs.get(job_id)
         if job is not None:
             return 200, self.status(job)
         standing = self.books.past.get(job_id)
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -88,6 +88,7 @@
 
     def _short(self) -> None:
         self.fleet.short = self.placement.short
+        self.fleet.leftover = self.placement.leftover
         if self.placement.short:
             self.fleet.nudge()
 
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -112,6 +112,7 @@
 
 class JobView:
     __slots__ = (
+        "avoid",
         "covered",
         "latest_start",
         "lingering",
@@ -131,12 +132,14 @@
         running_zones: dict[str, int] | None = None,
         lingering: bool = False,
         urgent: bool = True,
+        avoid: Iterable[str] = (),
     ) -> None:
         self.spec = spec
         self.todo = todo
         self.covered = covered  # within the team's guarantee
         self.latest_start = latest_start  # time of day; past means that the aim is missed
         self.running_zones = running_zones or {}
+        self.avoid = frozenset(avoid)  # machines on which it failed
         self.urgent = urgent  # an aim is lost unless it starts soon: worth stopping others
         self.lingering = lingering  # a gang with attempts that are not gone yet
 
@@ -163,6 +166,7 @@
         self.starts: list[Start] = []
         self.stops: list[tuple[str, int]] = []  # (job, task) to be stopped with time to save
         self.short: list[tuple[JobView, int]] = []  # jobs that lack room, and for how many tasks
+        self.leftover: dict[str, list[float]] = {}  # room left on each machine
 
 
 def fits_in(free: list[float], spec: JobSpec) -> int:
@@ -263,16 +267,21 @@
         job.running_zones[machine.zone] = job.running_zones.get(machine.zone, 0) + count
         job.todo -= count
 
+    @staticmethod
+    def usable(machine: MachineView, job: JobView) -> bool:
+        return allowed(machine, job.spec) and machine.name not in job.avoid
+
     @staticmethod
     def may_fill(machine: MachineView, spec: JobSpec) -> bool:
         """On a machine that is kept for a gang, only what ends before that can start."""
         return machine.kept_for is None or (not spec.gang and spec.estimate_s < machine.kept_for)
 
-    def candidates(self, spec: JobSpec) -> list[MachineView]:
+    def candidates(self, job: JobView) -> list[MachineView]:
+        spec = job.spec
         found = [
             m
             for m in self.machines
-            if allowed(m, spec) and self.may_fill(m, spec) and m.fits(spec) > 0
+            if self.usable(m, job) and self.may_fill(m, spec) and m.fits(spec) > 0
         ]
         found.sort(key=lambda m: rank(m, spec, self.keep_ordinary))
         return found
@@ -299,7 +308,7 @@
         spec = job.spec
         cap = (spec.tasks + 1) // 2
         home = next(iter(job.running_zones), None) if spec.one_zone else None
-        for machine in self.candidates(spec):
+        for machine in self.candidates(job):
             if wanted <= 0:
                 break
             if home is not None and machine.zone != home:
@@ -321,7 +330,7 @@
 
     def place_gang(self, job: JobView) -> bool:
         spec = job.spec
-        found = self.candidates(spec)
+        found = self.candidates(job)
         options = []
         for zone in self.zones(spec):
             choice = choose(spec, [m for m in found if zone is None or m.zone == zone])
@@ -361,7 +370,7 @@
             return  # nobody may be stopped, and independent tasks need no room kept together
         if not job.urgent and not job.covered:
             return
-        usable = [m for m in self.machines if allowed(m, spec)]
+        usable = [m for m in self.machines if self.usable(m, job)]
         best: list[tuple[MachineView, int, list[Victim]]] | None = None
         best_cost = 0.0
         for zone in self.zones(spec):
@@ -405,7 +414,7 @@
         for zone in self.zones(spec):
             options = []
             for machine in self.machines:
-                if allowed(machine, spec) and zone in (None, machine.zone):
+                if self.usable(machine, job) and zone in (None, machine.zone):
                     wait, count = free_in(machine, spec)
                     if count:
                         options.append((wait, machine.name, machine, count))
@@ -502,4 +511,5 @@
     for job in sorted(jobs, key=order):
         if job.todo > 0:
             current.place(job)
+    current.plan.leftover = {m.name: m.free for m in machines}
     return current.plan
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -66,6 +66,7 @@
         self.wake = asyncio.Event()
         self.number = 0
         self.short: list[tuple[JobView, int]] = []
+        self.leftover: dict[str, list[float]] = {}
         self.on_short: Callable[[], None] = lambda: None
         books.on_round_over = self._round_over
 
@@ -116,7 +117,7 @@
 
     async def round(self, now: float) -> None:
         plan = self.decide(now)
-        self.short = plan.short
+        self.short, self.leftover = plan.short, plan.leftover
         self.on_short()
         for job_id, task in plan.stops:
             self._preempt(job_id, task, now)
@@ -185,8 +186,14 @@
             zones,
             lingering=job.spec.gang and bool(job.attempts),
             urgent=latest - wall < c.URGENT_S,
+            avoid=self._avoid(job),
         )
 
+    def _avoid(self, job: Job) -> list[str]:
+        """The machines on which it failed lately: after some of them it may come back."""
+        recent = list(job.failed_on)[-c.AVOID_MACHINES :]
+        return [name for name in recent if name in self.books.machines]
+
     def _machine_view(self, machine: Machine, now: float, covered: set[str]) -> MachineView:
         coming = [0.0, 0.0, 0.0]
         victims = []
@@ -283,7 +290,7 @@
 
     def _stored(self, key: str, attempts: list[Attempt]) -> None:
         now = self.loop.time()
-        pushed: set[str] = set()
+        pushed: dict[str, None] = {}
         for attempt in attempts:
             if attempt.phase is not AttemptPhase.PLANNED:
                 continue
@@ -291,7 +298,7 @@
             if attempt.stopping or attempt.job.phase is not JobPhase.ACTIVE:
                 self.books.release(attempt, now)
             else:
-                pushed.add(attempt.machine)
+                pushed[attempt.machine] = None
         if key not in self.books.rounds:
             self._round_over(key)
         for name in pushed:
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -180,23 +180,27 @@
     async def _was_applied(self, ops: list[Put | Drop], conditions: dict[str, int]) -> int | None:
         """After a doubt: the revision at which our own earlier try went through, 0 if none did.
 
-        Only this writer writes these keys while `lead` has our version (jobs are
-        created by others too, but then our conditions failed and nothing of ours
-        is there). All puts of one transaction share its revision.
+        All puts of a transaction share one revision. Looking at a single key is not
+        enough: a follower may have created the very same job record meanwhile, which
+        says nothing about the fates that were to be written beside it.
         """
-        puts = [op for op in ops if isinstance(op, Put)]
+        revisions = set()
         try:
-            for op in puts or ops:
+            for op in ops:
                 item = await self.store.get(op.key)
                 if isinstance(op, Drop):
-                    return 0 if item else 1
-                if item is None or item.value != op.value or item.version == conditions[op.key]:
+                    if item is not None:
+                        return 0
+                elif item is None or item.value != op.value or item.version == conditions[op.key]:
                     return 0
-                return item.version
+                else:
+                    revisions.add(item.version)
         except StoreError:
             await asyncio.sleep(c.STORE_RETRY_S)
             return None
-        return 0
+        if len(revisions) > 1:
+            return 0
+        return revisions.pop() if revisions else 1
 
     async def _split(self, batch: list[Change], failed: list[str]) -> None:
         """A record is not what we thought: fail its change, write the others."""
--- a/peathall/wire/http.py
+++ b/peathall/wire/http.py
@@ -107,7 +107,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._enter(ConnectionPhase.CLOSED)
-        self.server.connections.discard(self)
+        self.server.connections.pop(self, None)
 
     def close(self) -> None:
         if self.transport is not None:
@@ -194,7 +194,7 @@
     def __init__(self, handler: Handler, max_connections: int) -> None:
         self.handler = handler
         self.max_connections = max_connections
-        self.connections: set[ServerConnection] = set()
+        self.connections: dict[ServerConnection, None] = {}  # ordered: oldest first
         self.loop = asyncio.get_running_loop()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -211,11 +211,11 @@
         return int(self._server.sockets[0].getsockname()[1])
 
     def admit(self, connection: ServerConnection) -> None:
-        self.connections.add(connection)
+        self.connections[connection] = None
         if len(self.connections) > self.max_connections:
             idle = [x for x in self.connections if x.phase is not ConnectionPhase.SERVING]
             oldest = min(idle or [connection], key=lambda x: x.since)
-            self.connections.discard(oldest)
+            self.connections.pop(oldest, None)
             oldest.close()
 
     def _sweep(self) -> None:
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -188,7 +188,7 @@
 
     def _done(self, job: Job, task: int, machine: Machine) -> None:
         machine.failed_jobs.clear()
-        job.failures = 0
+        job.failed_on.pop(machine.name, None)
         if job.spec.gang:
             # The tasks of a gang complete together: when one is done, all are.
             if len(job.done) < job.spec.tasks:
@@ -218,12 +218,16 @@
             self.break_gang(job, number, now)
 
     def _failed(self, machine: Machine, job: Job, now: float) -> None:
+        """Try elsewhere; tell a sick machine from a job that fails everywhere."""
         machine.failed_jobs.add(job.spec.id)
-        job.failures += 1
-        pause = min(c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2 ** min(job.failures - 1, 10))
-        job.backoff_until = now + pause
-        if len(machine.failed_jobs) >= c.SICK_JOBS:
-            self.drain(machine, "it fails every task")
+        job.failed_on[machine.name] = None
+        elsewhere = len(job.failed_on)
+        if elsewhere > 1:
+            # Several machines: perhaps the job's own fault, so it is slowed, never dropped.
+            pause = min(c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2 ** min(elsewhere - 2, 10))
+            job.backoff_until = now + pause
+        if len(machine.failed_jobs) >= c.SICK_JOBS or (job.done and elsewhere == 1):
+            self.drain(machine, "it fails tasks that end well elsewhere")
 
     def drain(self, machine: Machine, why: str) -> None:
         if machine.enter(MachinePhase.DRAINING):
--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -16,8 +16,8 @@
     def __init__(self, ip: str) -> None:
         self.ip = ip
         self.alive = True
-        self.tasks: set[asyncio.Task[Any]] = set()
-        self.transports: set[MemoryTransport] = set()
+        self.tasks: dict[asyncio.Task[Any], None] = {}  # ordered, unlike a set
+        self.transports: dict[MemoryTransport, None] = {}
 
 
 HOST: contextvars.ContextVar[Host] = contextvars.ContextVar("host")
@@ -55,8 +55,8 @@
         task: asyncio.Task[Any] = asyncio.Task(coro, loop=loop, **kwargs)
         host = HOST.get(None)
         if host is not None:
-            host.tasks.add(task)
-            task.add_done_callback(host.tasks.discard)
+            host.tasks[task] = None
+            task.add_done_callback(lambda t: host.tasks.pop(t, None))
         return task
 
     # --- network -------------------------------------------------------------
@@ -121,7 +121,7 @@
         self.loop, self.host, self.context = loop, host, context
         self.closed = False
         self.last = 0.0  # arrival of the latest packet sent: order is kept
-        host.transports.add(self)
+        host.transports[self] = None
 
     def is_closing(self) -> bool:
         return self.closed
@@ -148,7 +148,7 @@
     def close(self) -> None:
         if not self.closed:
             self.closed = True
-            self.host.transports.discard(self)
+            self.host.transports.pop(self, None)
             self.loop.call_soon(self.protocol.connection_lost, None, context=self.context)
             self._later(self.peer.vanish)
 
@@ -159,7 +159,7 @@
         if self.closed:
             return
         self.closed = True
-        self.host.transports.discard(self)
+        self.host.transports.pop(self, None)
         if self.host.alive:
             self.protocol.connection_lost(None)
         else:
--- a/tests/sim/test_days.py
+++ b/tests/sim/test_days.py
@@ -12,7 +12,7 @@
 import pytest
 
 from peathall import settings
-from tests.sim.net import VirtualLoop
+from tests.sim.net import Host, VirtualLoop
 from tests.sim.world import World
 
 NODE = """
@@ -106,15 +106,12 @@
         job = draw_job(world.rng, number)
         if world.can_run(job):
             cancel = world.rng.uniform(0, 15) if world.rng.random() < 0.2 else None
-            context = world.context(UserHost(f"10.9.0.{number}"))
+            context = world.context(Host(f"10.9.0.{number}"))
             tasks.append(world.loop.create_task(world.user(job, cancel), context=context))
         await asyncio.sleep(world.rng.expovariate(1 / 2.5))
     return tasks
 
 
-from tests.sim.net import Host as UserHost  # noqa: E402
-
-
 async def trouble(world: World, kinds: list[str], until: float) -> None:
     rng, loop = world.rng, world.loop
     await asyncio.sleep(10)
@@ -197,7 +194,11 @@
         (6, CRASHES + STORE + CUTS + MACHINES),
         (7, CRASHES + STORE + CUTS + MACHINES),
         (8, ["lossy", "crash_all"]),
-        (9, ["cut_node", "cut_state", "lossy"]),
+        # Days on which something was found broken, with what had failed:
+        (123, ["cut_node", "cut_state", "lossy"]),  # queued told while `done` was on its way
+        (124, ["cut_node", "cut_state", "lossy"]),  # a doubtful commit taken for a carried-out one
+        (147, ["cut_node", "cut_state", "lossy"]),  # a spread gang's machines rented in one zone
+        (183, CRASHES + STORE + CUTS + MACHINES),  # one job alone never gave a sick machine away
     ],
 )
 def test_a_day_keeps_the_rules(seed: int, kinds: list[str]) -> None:
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -178,8 +178,10 @@
         self.kick.set()
 
     def complete(self, task: Task) -> None:
-        if self.host.alive:
-            for mate in self.world.mates(task):
+        mates = [t for t in self.world.mates(task) if t.state == "running"]
+        gang = task.job["shape"] == "ensemble"
+        if self.host.alive and (not gang or len(mates) == task.job["parcels"]):
+            for mate in mates:
                 mate.worker.finish(mate, "done")
 
     def finish(self, task: Task, why: str, saved: bool = False) -> None:
