--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -25,8 +25,8 @@
 TXN_BYTES = 48 * 1024  # bytes of one transaction, kept clear of the 64 KiB limit
 
 # --- leadership -------------------------------------------------------------
-LEAD_TTL_S = 5.0  # s; a take-over waits this long, a slow renewal must not lose the lead
-RENEW_S = 1.1  # s; four tries fit into one lease
+LEAD_TTL_S = 3.0  # s; a take-over waits this long, a slow renewal must not lose the lead
+RENEW_S = 0.7  # s; four tries fit into one lease
 DRIFT = 0.0005  # part; steady clocks of two machines differ by up to 0.05%
 LEAD_MARGIN_S = 0.3  # s; the last act before the lease ends must have left by then
 CAMPAIGN_JITTER_S = 0.25  # s; spreads candidates, so that one wins at the first try
@@ -73,6 +73,7 @@
 
 # --- peers ------------------------------------------------------------------
 FORWARD_S = 1.2  # s; a query's user waits 2 s, so the store can still be asked
+FORWARD_ACCEPT_S = 0.1  # s; creating the job in the store ourselves is as good, and sooner
 ACCEPT_S = 1.5  # s; a commit usually takes 10 ms; after this the user is told when to come back
 RETRY_AFTER_S = 1  # s; told with 503: the earliest at which users come back
 FALLBACK_S = 0.7  # s; asking the store itself must leave time for the answer
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -171,7 +171,8 @@
             steward = self.election.leader
             if steward is not None and steward != self.settings.name:
                 try:
-                    answer = await self.peers.forward(steward, message, c.FORWARD_S)
+                    limit = c.FORWARD_ACCEPT_S if message["op"] == "accept" else c.FORWARD_S
+                    answer = await self.peers.forward(steward, message, limit)
                     if answer[0] != 503:
                         return answer
                 except NoAnswerError as exc:
