Workers: cached images are remembered across take-overs, written when the writer is idle

Cause: after each take-over the new leader knew no caches and sent tasks to fetch images that lay on other machines.

--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -48,6 +48,7 @@
 ERROR_BACKOFF_S = 2.0  # s; doubled with each failure of a job, so that a broken one is slowed
 ERROR_BACKOFF_MAX_S = 60.0  # s; a mistaken job stays until its user cancels it
 SAVE_GRACE_S = 3.0  # s; added to the time that a task needs to save
+FORGET_CACHES_S = 60.0  # s; after a take-over every living machine has reported or is listed
 DIRECT_TIMEOUT_S = 2.0  # s; a direct order without an answer is repeated by the next check-in
 
 # --- placement --------------------------------------------------------------
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -21,6 +21,7 @@
 from peathall.store.client import StateClient, StoreError
 from peathall.store.writer import Writer, WriterPhase
 from peathall.wire.names import JobSpec, Report
+from peathall.workers.caches import CACHE, Caches
 from peathall.workers.service import Workers
 
 log = logging.getLogger("peathall.leader")
@@ -57,6 +58,10 @@
         self.workers = Workers(
             self.books, params.workers, now, self.may_act, self._done, self._nudge
         )
+        self.caches = Caches(self.books, self.writer)
+        self.workers.on_images = self.caches.changed
+        self.workers.on_gone = self.caches.gone
+        self.workers.on_confirmed = self.caches.recall
         self.jobs = Jobs(self.books, params, store, self.writer, self._nudge, self._cancelled)
         self.placement = Placement(
             self.books, params, self.writer, self.workers, wall, self.may_act
@@ -145,6 +150,7 @@
                 fates, _ = await self.store.scan(records.FATE)
                 done, _ = await self.store.scan(records.DONE)
                 rounds, _ = await self.store.scan(ROUND)
+                caches, _ = await self.store.scan(CACHE)
                 break
             except StoreError as exc:
                 log.info("reading the records: %s", exc)
@@ -153,6 +159,7 @@
             self.writer.versions[TYPES] = types.version
             self.fleet.set_types(types.value["builds"])
         self.jobs.load(jobs, fates, done)
+        self.caches.load(caches)
         self.placement.load(rounds, self.loop.time())
         self.workers.took_over = self.loop.time()
         return revision
@@ -162,6 +169,9 @@
             await asyncio.sleep(c.TICK_S)
             if self.may_act():
                 self.workers.tick(self.loop.time())
+                self.caches.write_one()
+                if self.loop.time() - self.workers.took_over > c.FORGET_CACHES_S:
+                    self.caches.forget_unknown()
                 for job in list(self.books.jobs.values()):
                     self.jobs.archive_if_over(job)
 
--- a/peathall/workers/model.py
+++ b/peathall/workers/model.py
@@ -106,12 +106,14 @@
             # Floating point dust must not keep a whole machine from a task.
             self.free_cpus, self.free_gpus, self.free_ram = self.cpus, self.gpus, self.ram
 
-    def saw_image(self, spec: JobSpec, cache_gb: float) -> None:
-        """Most recently used images stay cached (protocol)."""
+    def saw_image(self, spec: JobSpec, cache_gb: float) -> bool:
+        """Most recently used images stay cached (protocol). True if this one is new."""
+        new = spec.image not in self.images
         self.images[spec.image] = spec.image_gb
         self.images.move_to_end(spec.image)
         while len(self.images) > 1 and sum(self.images.values()) > cache_gb:
             self.images.popitem(last=False)
+        return new
 
     def fetching(self) -> set[str]:
         early = (AttemptPhase.PLANNED, AttemptPhase.INTENDED, AttemptPhase.SENT)
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -67,6 +67,9 @@
         self.couriers: dict[str, asyncio.Task[None]] = {}
         self.clients: dict[str, HttpClient] = {}
         self.last_checkin = now
+        self.on_images: Callable[[Machine], None] = lambda machine: None
+        self.on_confirmed: Callable[[Machine], None] = lambda machine: None
+        self.on_gone: Callable[[Machine], None] = lambda machine: None
 
     # --- mandate and lease ---------------------------------------------------
     @property
@@ -102,6 +105,7 @@
         machine.last_answer = now
         if fresh and not machine.confirmed and report.token >= self.base:
             machine.confirmed = True
+            self.on_confirmed(machine)
             log.info("machine %s confirmed, %d tasks", machine.name, len(machine.attempts))
             self.on_change()
         return 200, names.checkin_answer(self.token, self._orders(machine, now, direct=False))
@@ -161,8 +165,12 @@
                 "%s/%d is %s on %s", item.job, item.task, attempt.phase.name.lower(), machine.name
             )
         if item.state is not TaskState.FETCHING and before is not attempt.phase:
-            size = self.books.types.get(machine.type)
-            machine.saw_image(attempt.job.spec, size.cache_gb if size else 0.0)
+            self._saw_image(machine, attempt)
+
+    def _saw_image(self, machine: Machine, attempt: Attempt) -> None:
+        size = self.books.types.get(machine.type)
+        if machine.saw_image(attempt.job.spec, size.cache_gb if size else 0.0):
+            self.on_images(machine)
 
     def _exited(
         self, machine: Machine, item: TaskReport, attempt: Attempt | None, now: float
@@ -174,7 +182,7 @@
         if attempt is not None:
             direct_token = self.direct.pop(attempt, 0)
             if attempt.phase in (AttemptPhase.FETCHING, AttemptPhase.SENT) and done:
-                machine.saw_image(attempt.job.spec, 1e9)
+                self._saw_image(machine, attempt)
         elif item.attempt >= self.base:
             direct_token = self.token
             for known in self.exits.get(machine.name, ()):
@@ -368,6 +376,7 @@
         if client is not None:
             client.close()
         self._lost(self.books.remove_machine(machine, now, why), now)
+        self.on_gone(machine)
 
     def close(self) -> None:
         for task in self.couriers.values():
