--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable
 from zlib import crc32
 
+from peathall import constants as c
 from peathall.settings import Objective, Team
 from peathall.wire.names import JobSpec
 
@@ -114,6 +115,7 @@
     __slots__ = (
         "avoid",
         "covered",
+        "fetch_s",
         "latest_start",
         "lingering",
         "running_zones",
@@ -133,12 +135,14 @@
         lingering: bool = False,
         urgent: bool = True,
         avoid: Iterable[str] = (),
+        fetch_s: float = 0.0,
     ) -> None:
         self.spec = spec
         self.todo = todo
         self.covered = covered  # within the team's guarantee
         self.latest_start = latest_start  # time of day; past means that the aim is missed
         self.running_zones = running_zones or {}
+        self.fetch_s = fetch_s  # about what a machine without the image loses
         self.avoid = frozenset(avoid)  # machines on which it failed
         self.urgent = urgent  # an aim is lost unless it starts soon: worth stopping others
         self.lingering = lingering  # a gang with attempts that are not gone yet
@@ -293,14 +297,18 @@
                 return
             if self.within_limit(spec, spec.tasks) < spec.tasks:
                 return
+            if self.wait_for_image(job, spec.tasks):
+                return
             if not self.place_gang(job):
-                self.make_room(job, spec.tasks)
+                self.make_room(job, spec.tasks, self.machines)
                 self.plan.short.append((job, spec.tasks))
             return
         wanted = self.within_limit(spec, job.todo)
+        if wanted and self.wait_for_image(job, wanted):
+            return
         left = self.place_tasks(job, wanted)
         if left > 0:
-            self.make_room(job, left)
+            self.make_room(job, left, self.machines)
             self.plan.short.append((job, left))
 
     def place_tasks(self, job: JobView, wanted: int) -> int:
@@ -359,7 +367,18 @@
             and victim.priority == job.spec.priority
         )
 
-    def make_room(self, job: JobView, wanted: int) -> None:
+    def wait_for_image(self, job: JobView, wanted: int) -> bool:
+        """Clear machines that have the image, if that is sooner than a fetch elsewhere."""
+        spec = job.spec
+        if job.fetch_s < c.FETCH_WORTH_S or not (job.urgent or job.covered):
+            return False
+        cached = [m for m in self.machines if self.usable(m, job) and spec.image in m.images]
+        free = sum(m.fits(spec) for m in cached if self.may_fill(m, spec))
+        if not cached or free >= wanted:
+            return False
+        return self.make_room(job, wanted, cached)
+
+    def make_room(self, job: JobView, wanted: int, machines: list[MachineView]) -> bool:
         """Claim room that is or becomes free, and stop others where the rules allow it.
 
         Claimed room is taken out of this round, so that later jobs do not fill it
@@ -367,10 +386,10 @@
         """
         spec = job.spec
         if not spec.gang and not job.covered and spec.priority >= self.lowest:
-            return  # nobody may be stopped, and independent tasks need no room kept together
+            return False  # nobody may be stopped, and independent tasks need no room together
         if not job.urgent and not job.covered:
-            return
-        usable = [m for m in self.machines if self.usable(m, job)]
+            return False
+        usable = [m for m in machines if self.usable(m, job)]
         best: list[tuple[MachineView, int, list[Victim]]] | None = None
         best_cost = 0.0
         for zone in self.zones(spec):
@@ -395,7 +414,7 @@
                 continue
             if chosen and (best is None or total < best_cost):
                 best, best_cost = chosen, total
-        if best is None and spec.gang:
+        if best is None and spec.gang and machines is self.machines:
             self.keep_machines(job)
         for machine, count, victims in best or ():
             for victim in victims:
@@ -406,6 +425,7 @@
                 machine.coming[1] += victim.gpus
                 machine.coming[2] += victim.ram
             self.claim(machine, spec, count)
+        return best is not None and sum(count for _, count, _ in best) >= wanted
 
     def keep_machines(self, job: JobView) -> None:
         """Nothing may be stopped: let the machines that are free soonest run empty."""
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -23,6 +23,7 @@
 from peathall.store.client import Drop, Item, Put
 from peathall.store.writer import Writer
 from peathall.wire.body import json_size
+from peathall.wire.names import JobSpec
 from peathall.workers.model import Machine, MachinePhase
 from peathall.workers.service import Workers
 
@@ -187,8 +188,14 @@
             lingering=job.spec.gang and bool(job.attempts),
             urgent=latest - wall < c.URGENT_S,
             avoid=self._avoid(job),
+            fetch_s=self._fetch_s(job.spec),
         )
 
+    def _fetch_s(self, spec: JobSpec) -> float:
+        kinds = self.books.types.values()
+        rates = [k.fetch_gb_per_s for k in kinds if spec.types is None or k.name in spec.types]
+        return spec.image_gb / min(rates, default=1.0)
+
     def _avoid(self, job: Job) -> list[str]:
         """The machines on which it failed lately: after some of them it may come back."""
         recent = list(job.failed_on)[-c.AVOID_MACHINES :]
