--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -370,7 +370,7 @@
     def wait_for_image(self, job: JobView, wanted: int) -> bool:
         """Clear machines that have the image, if that is sooner than a fetch elsewhere."""
         spec = job.spec
-        if job.fetch_s < c.FETCH_WORTH_S or not (job.urgent or job.covered):
+        if job.fetch_s < c.FETCH_WORTH_S or not job.urgent:
             return False
         cached = [m for m in self.machines if self.usable(m, job) and spec.image in m.images]
         free = sum(m.fits(spec) for m in cached if self.may_fill(m, spec))
