--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -39,7 +39,8 @@
 TICK_S = 1.0  # s; how often leases are checked; room returns at most this much late
 SUSPECT_REPORTS = 3.0  # missed report intervals; no new work goes to such a machine (DESIGN)
 LOST_REPORTS = 5.0  # missed report intervals; then deleting it frees its tasks before its lease
-HEARD_SHARE = 0.6  # of the machines must be heard before silence is blamed on the machine
+HEARD_SHARE = 0.3  # of the machines must be heard before silence is blamed on a machine; one
+# that is alive behind a cut of ours knocks at another controller, which tells us
 CHECKIN_HOLD_S = (
     1.5  # s; a check-in that meets a leader still reading its records waits (4 s limit)
 )
@@ -81,4 +82,5 @@
 FALLBACK_S = 0.7  # s; asking the store itself must leave time for the answer
 PING_S = 1.5  # s; between looks at each peer
 KNOCK_S = 5.0  # s; check-ins that a follower turned away count as knocks for this long
+KNOCK_NAMES = 200  # names in one answer to a ping, so that it stays small
 CUT_OFF_S = 6.0  # s; without store and peers for so long a controller calls itself unhealthy
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -115,6 +115,7 @@
         self.may_act = may_act
         self.on_change = on_change
         self.idle_hold_s = idle_hold_s
+        self.knocking: Callable[[], set[str]] = set  # workers that reach other controllers
         self.guaranteed = any(team.cpus or team.gpus for team in params.teams)
         self.loop = asyncio.get_running_loop()
         self.refused: dict[tuple[str, str, bool], float] = {}
@@ -251,7 +252,12 @@
                 return machine.why_draining
             return ""
         quiet = self.workers.silence(machine, now)
-        if phase is MachinePhase.UP and heard and quiet > c.LOST_REPORTS * self.settings.report_s:
+        if (
+            phase is MachinePhase.UP
+            and heard
+            and quiet > c.LOST_REPORTS * self.settings.report_s
+            and machine.name not in self.knocking()
+        ):
             return f"silent for {quiet:.0f} s"
         if (
             phase is MachinePhase.UP
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -44,6 +44,7 @@
         may_act: Callable[[], bool],
         depose: Callable[[], None],
         wall: Callable[[], float],
+        knocking: Callable[[], set[str]],
     ) -> None:
         params = settings.params
         self.loop = asyncio.get_running_loop()
@@ -76,6 +77,7 @@
             self._nudge,
             operator.idle_hold_s,
         )
+        self.fleet.knocking = knocking
         self.books.on_room = self._nudge
         self.placement.on_short = self._short
         self.requests: set[asyncio.Task[Answer]] = set()
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -80,6 +80,7 @@
             self.election.may_act,
             self.election.depose,
             self.wall,
+            lambda: self.peers.knocking_elsewhere(self.loop.time()),
         )
         self.leader = leader
         try:
@@ -95,7 +96,7 @@
             if leader is None or not leader.may_act():
                 continue
             since = max(leader.workers.last_checkin, leader.workers.took_over)
-            if now - since > c.UNREACHED_S and self.peers.knocks_elsewhere(now):
+            if now - since > c.UNREACHED_S and self.peers.knocking_elsewhere(now):
                 await self.election.resign("workers reach others, but not us")
 
     async def _learn_types(self) -> None:
--- a/peathall/peers/service.py
+++ b/peathall/peers/service.py
@@ -27,7 +27,7 @@
         self.peer = peer
         self.client = HttpClient(peer.addr, "application/json", keep=8)
         self.heard = -1e9
-        self.knocks = 0
+        self.knocks: list[str] = []
 
 
 class Peers:
@@ -40,7 +40,7 @@
     # --- serving -------------------------------------------------------------
     async def serve(self, request: Request) -> Response:
         if request.method == "GET" and request.path == "/ping":
-            return json_response(200, {"knocks": self.count_knocks(self.loop.time())})
+            return json_response(200, {"knocks": self.knocking(self.loop.time())})
         if request.method == "POST" and request.path == "/forward":
             try:
                 message = orjson.loads(request.body)
@@ -55,9 +55,10 @@
     def knock(self, worker: str, now: float) -> None:
         self.knocked[worker] = now
 
-    def count_knocks(self, now: float) -> int:
+    def knocking(self, now: float) -> list[str]:
+        """Workers that we have turned away lately."""
         self.knocked = {w: at for w, at in self.knocked.items() if now - at < c.KNOCK_S}
-        return len(self.knocked)
+        return list(self.knocked)[-c.KNOCK_NAMES :]
 
     # --- asking --------------------------------------------------------------
     async def forward(self, name: str, message: dict[str, Any], timeout: float) -> tuple[int, Any]:
@@ -80,17 +81,18 @@
     async def _ping(self, view: PeerView) -> None:
         try:
             _, raw = await view.client.request("GET", "/ping", b"", c.PING_S)
-            view.knocks = int(orjson.loads(raw)["knocks"])
+            view.knocks = [str(name) for name in orjson.loads(raw)["knocks"]]
             view.heard = self.loop.time()
         except (NoAnswerError, ValueError, KeyError, TypeError):
-            view.knocks = 0
+            view.knocks = []
 
     def heard_any(self, now: float, within: float) -> bool:
         return any(now - view.heard < within for view in self.views.values())
 
-    def knocks_elsewhere(self, now: float) -> int:
-        fresh = [v.knocks for v in self.views.values() if now - v.heard < 3 * c.PING_S]
-        return max(fresh, default=0)
+    def knocking_elsewhere(self, now: float) -> set[str]:
+        """Workers that are alive, since they have reached another controller."""
+        fresh = [view.knocks for view in self.views.values() if now - view.heard < 3 * c.PING_S]
+        return {name for knocks in fresh for name in knocks}
 
 
 def json_response(status: int, value: Any) -> Response:
