--- /dev/null
+++ b/tests/unit/test_planner.py
@@ -0,0 +1,257 @@
+"""The real planner against a slow plain model that places one task at a time."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from peathall.fleet.planner import Bin, Offer, plan_rentals
+from peathall.placement.planner import JobView, MachineView, Victim, latest_start, make_plan
+from peathall.settings import Objective, Team
+from peathall.wire.names import JobSpec, MachineType
+
+
+def spec(**changes: object) -> JobSpec:
+    base: dict[str, object] = {
+        "id": "j-1", "class_name": "c", "team": "t", "gang": False, "priority": 2, "tasks": 1,
+        "cpus": 1.0, "gpus": 0.0, "ram": 1.0, "image": "i", "image_gb": 1.0, "types": None,
+        "zone": None, "one_zone": False, "spread": False, "spot": True, "estimate_s": 10.0,
+        "checkpoint_s": 0.0, "save_s": 0.0, "deadline_s": None, "submitted": 0.0,
+    }  # fmt: skip
+    return JobSpec(**(base | changes))  # type: ignore[arg-type]
+
+
+def machine(name: str, size: tuple[float, float, float], **more: object) -> MachineView:
+    zone, spot = str(more.pop("zone", "a")), bool(more.pop("spot", False))
+    return MachineView(name, "g", zone, spot, size, size, **more)  # type: ignore[arg-type]
+
+
+def draw(rng: random.Random) -> tuple[list[JobView], list[MachineView], dict[str, Team]]:
+    machines = []
+    for i in range(rng.randrange(1, 8)):
+        size = rng.choice([(4.0, 0.0, 8.0), (8.0, 2.0, 16.0), (16.0, 4.0, 32.0)])
+        machines.append(
+            machine(
+                f"m-{i}",
+                size,
+                zone=rng.choice("ab"),
+                spot=rng.random() < 0.5,
+                images=rng.sample(["x", "y", "z"], rng.randrange(3)),
+                stale=rng.randrange(2),
+            )
+        )
+    jobs = []
+    for i in range(rng.randrange(1, 9)):
+        gang = rng.random() < 0.4
+        one_zone = rng.random() < 0.3
+        job = spec(
+            id=f"j-{i}", team=rng.choice(["t", "u"]), gang=gang, priority=rng.randrange(1, 4),
+            tasks=rng.randrange(1, 7), cpus=float(rng.randrange(1, 4)),
+            gpus=float(rng.choice([0, 0, 1])), ram=float(rng.randrange(1, 5)),
+            image=rng.choice(["x", "y", "z"]), zone=rng.choice([None, None, "a"]),
+            one_zone=one_zone, spread=not one_zone and rng.random() < 0.3,
+            spot=rng.random() < 0.7, submitted=float(i),
+        )  # fmt: skip
+        jobs.append(JobView(job, job.tasks, latest_start=rng.choice([5.0, 9.0]), urgent=False))
+    return jobs, machines, {"t": Team("t", gpus_max=3.0), "u": Team("u", cpus_max=12.0)}
+
+
+class Model:
+    """Places one task at a time on the best machine, trying everything anew each time."""
+
+    def __init__(self, machines: list[MachineView], teams: dict[str, Team]) -> None:
+        self.machines, self.teams = machines, teams
+        self.free = {m.name: list(m.free) for m in machines}
+        self.pulling = {m.name: set(m.pulling) for m in machines}
+        self.used = {t: [0.0, 0.0] for t in teams}
+        self.starts: Counter[tuple[str, str]] = Counter()
+
+    def fits(self, m: MachineView, s: JobSpec) -> bool:
+        room = self.free[m.name]
+        return room[0] >= s.cpus and room[1] >= s.gpus and room[2] >= s.ram
+
+    def best(self, s: JobSpec, zones: Counter[str], only: str | None) -> MachineView | None:
+        def rank(m: MachineView) -> tuple[object, ...]:
+            from zlib import crc32
+
+            return (
+                m.gpus, s.image not in m.images, s.image not in self.pulling[m.name], m.stale,
+                not m.spot, self.free[m.name][2], self.free[m.name][0],
+                crc32(f"{s.id} {m.name}".encode()),
+            )  # fmt: skip
+
+        options = [
+            m
+            for m in self.machines
+            if self.fits(m, s)
+            and (s.zone in (None, m.zone))
+            and (only in (None, m.zone))
+            and (s.spot or not m.spot)
+            and not (s.spread and zones[m.zone] >= (s.tasks + 1) // 2)
+        ]
+        return min(options, key=rank, default=None)
+
+    def within(self, s: JobSpec) -> bool:
+        team, used = self.teams[s.team], self.used[s.team]
+        return not (
+            (team.cpus_max and used[0] + s.cpus > team.cpus_max)
+            or (team.gpus_max and s.gpus and used[1] + s.gpus > team.gpus_max)
+        )
+
+    def try_place(self, s: JobSpec, only: str | None) -> list[tuple[str, str]]:
+        zones: Counter[str] = Counter()
+        placed = []
+        while len(placed) < s.tasks and self.within(s):
+            m = self.best(s, zones, only)
+            if m is None:
+                break
+            if s.one_zone:
+                only = m.zone
+            for i, need in enumerate((s.cpus, s.gpus, s.ram)):
+                self.free[m.name][i] -= need
+            self.pulling[m.name].add(s.image)
+            self.used[s.team][0] += s.cpus
+            self.used[s.team][1] += s.gpus
+            zones[m.zone] += 1
+            placed.append((s.id, m.name))
+        return placed
+
+    def place(self, job: JobView) -> None:
+        s = job.spec
+        if not s.gang:
+            self.starts.update(self.try_place(s, None))
+            return
+        options = []
+        names = list(dict.fromkeys(m.zone for m in self.machines))
+        for only in names if s.one_zone else [None]:
+            saved = (
+                {k: list(v) for k, v in self.free.items()},
+                {k: set(v) for k, v in self.pulling.items()},
+                {k: list(v) for k, v in self.used.items()},
+            )
+            placed = self.try_place(s, only)
+            if len(placed) == s.tasks:
+                images = {m.name: m.images for m in self.machines}
+                uncached = sum(s.image not in images[name] for _, name in placed)
+                options.append((uncached, str(only), only))
+            self.free, self.pulling, self.used = saved
+        if options:
+            self.starts.update(self.try_place(s, min(options)[2]))
+
+
+def test_the_planner_agrees_with_the_plain_model() -> None:
+    rng = random.Random(3)
+    placed = 0
+    for _ in range(400):
+        jobs, machines, teams = draw(rng)
+        model = Model(machines, teams)
+        key = lambda j: (j.spec.priority, not j.spec.gang, j.latest_start, j.spec.submitted)  # noqa: E731
+        for job in sorted(jobs, key=key):
+            model.place(job)
+        plan = make_plan(jobs, machines, teams, {})
+        got: Counter[tuple[str, str]] = Counter()
+        for start in plan.starts:
+            got[(start.job, start.machine)] += start.count
+        assert got == model.starts
+        placed += sum(got.values())
+    assert placed > 1000
+
+
+def victim(name: str, priority: int, team: str = "u", guaranteed: bool = False) -> Victim:
+    return Victim((name, 0), None, (4.0, 0.0, 8.0), priority, team, guaranteed, 1.0, 60.0)
+
+
+def full(priority: int, **more: object) -> MachineView:
+    view = machine("m-0", (4.0, 0.0, 8.0), victims=[victim("j-9", priority, **more)])  # type: ignore[arg-type]
+    view.free = [0.0, 0.0, 0.0]
+    return view
+
+
+TEAMS = {"t": Team("t"), "u": Team("u")}
+
+
+def stops(job: JobView, view: MachineView) -> list[tuple[str, int]]:
+    return make_plan([job], [view], TEAMS, {}).stops
+
+
+def test_who_may_stop_whom() -> None:
+    high = JobView(spec(priority=1), 1)
+    assert stops(high, full(2)) == [("j-9", 0)]
+    assert stops(high, full(1)) == []
+    assert stops(JobView(spec(priority=1), 1, urgent=False), full(2)) == []
+    # A guarantee reaches other teams' uncovered work of its own priority only: above it,
+    # the two jobs stopped one another in turns, twice a second.
+    assert stops(JobView(spec(), 1, covered=True), full(2)) == [("j-9", 0)]
+    assert stops(JobView(spec(), 1, covered=True), full(1)) == []
+    assert stops(JobView(spec(), 1, covered=True), full(2, guaranteed=True)) == []
+    assert stops(JobView(spec(), 1, covered=True), full(2, team="t")) == []
+
+
+def test_a_gang_gets_machines_kept_that_small_tasks_would_fill() -> None:
+    gang = JobView(spec(id="j-1", gang=True, cpus=4.0), 1)
+    small = JobView(spec(id="j-2", tasks=4, estimate_s=100.0), 4)
+    brief = JobView(spec(id="j-3", tasks=1, estimate_s=5.0), 1)
+    view = full(1)
+    view.victims = [Victim(("j-9", 0), None, (2.0, 0.0, 4.0), 1, "u", False, 1.0, 30.0)]
+    view.free = [2.0, 0.0, 4.0]
+    plan = make_plan([gang, small, brief], [view], TEAMS, {})
+    assert [(s.job, s.count) for s in plan.starts] == [("j-3", 1)]
+
+
+def test_a_machine_with_the_image_is_cleared_for_an_urgent_job() -> None:
+    cached = full(3)
+    cached.images = {"i"}
+    empty = machine("m-1", (4.0, 0.0, 8.0))
+    slow = JobView(spec(priority=1), 1, fetch_s=20.0)
+    plan = make_plan([slow], [cached, empty], TEAMS, {})
+    assert (plan.stops, plan.starts) == ([("j-9", 0)], [])
+    quick = JobView(spec(priority=1), 1, fetch_s=2.0)
+    plan = make_plan([quick], [cached, empty], TEAMS, {})
+    assert (plan.stops, [s.machine for s in plan.starts]) == ([], ["m-1"])
+
+
+def test_a_failed_machine_is_avoided() -> None:
+    views = [machine("m-0", (4.0, 0.0, 8.0)), machine("m-1", (8.0, 0.0, 16.0))]
+    plan = make_plan([JobView(spec(), 1, avoid=["m-0"])], views, TEAMS, {})
+    assert [s.machine for s in plan.starts] == ["m-1"]
+
+
+def test_latest_start_takes_the_next_aim_that_can_be_met() -> None:
+    aims = [
+        Objective("wait", "c", 20.0, 0.9),
+        Objective("finished", "c", 100.0, 0.9),
+        Objective("deadline", "c", None, 0.9, 1.5),
+        Objective("wait", "other", 1.0, 0.9),
+    ]
+    job = spec(estimate_s=30.0, submitted=1000.0, deadline_s=120.0)
+    assert latest_start(job, aims, 1000.0, 0.0) == 1020.0
+    assert latest_start(job, aims, 1021.0, 0.0) == 1070.0
+    assert latest_start(job, aims, 1071.0, 0.0) == 1150.0
+    assert latest_start(job, aims, 1200.0, 0.0) > 1e6
+
+
+KIND = MachineType("g", 8.0, 0.0, 16.0, 50.0, 1.0, 10.0, 3.0, 30.0, ["a", "b"])
+OFFERS = [Offer(KIND, zone, spot) for zone in "ab" for spot in (True, False)]
+
+
+def rented(
+    job: JobView, count: int, coming: list[Bin], left: list[Bin]
+) -> Counter[tuple[str, bool]]:
+    found: Counter[tuple[str, bool]] = Counter()
+    for offer, number in plan_rentals([(job, count)], coming, left, OFFERS):
+        found[(offer.zone, offer.spot)] += number
+    return found
+
+
+def test_rentals() -> None:
+    array = JobView(spec(tasks=20), 20)
+    assert rented(array, 20, [], []) == {("a", True): 3}
+    assert rented(array, 20, [Bin(OFFERS[0])], []) == {("a", True): 2}
+    assert rented(JobView(spec(tasks=20, spot=False), 20), 20, [], []) == {("a", False): 3}
+    # Machines for a spread gang were once all rented in one zone, over and over.
+    spread = JobView(spec(gang=True, tasks=4, cpus=8.0, spread=True), 4)
+    assert rented(spread, 4, [], []) == {("a", True): 2, ("b", True): 2}
+    # All in the zone where there is room already.
+    together = JobView(spec(gang=True, tasks=3, cpus=8.0, one_zone=True), 3)
+    assert rented(together, 3, [], [Bin(OFFERS[2])]) == {("b", True): 3}
+    assert rented(together, 3, [Bin(OFFERS[2])], []) == {("b", True): 2}
--- /dev/null
+++ b/tests/unit/test_store.py
@@ -0,0 +1,156 @@
+"""The writer under doubt, budgets, the lead lease, and the split of records."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from peathall.jobs.ranges import Ranges
+from peathall.jobs.records import block_tasks, done_record
+from peathall.leadership.lease import LeadLease, first_attempt, token
+from peathall.placement.service import split_record
+from peathall.settings import StateSettings
+from peathall.store.budget import Budget
+from peathall.store.client import ConflictError, Item, Put, StateClient, StoreDoubtError
+from peathall.store.writer import DeposedError, Writer
+from peathall.wire.body import json_size
+
+
+class FakeStore:
+    """Applies commits; `lose` of them answer nothing, carried out or not."""
+
+    def __init__(self) -> None:
+        self.data: dict[str, tuple[Any, int]] = {"lead": ({}, 1)}
+        self.revision = 1
+        self.lose: list[bool] = []  # for each coming commit that gets no answer: carried out?
+
+    async def get(self, key: str) -> Item | None:
+        found = self.data.get(key)
+        return Item(key, found[0], found[1]) if found else None
+
+    def write(self, key: str, value: Any) -> None:
+        self.revision += 1
+        self.data[key] = (value, self.revision)
+
+    def apply(self, conditions: dict[str, int], ops: list[Any]) -> int:
+        failed = [k for k, v in conditions.items() if self.data.get(k, (0, 0))[1] != v]
+        if failed:
+            raise ConflictError(failed)
+        self.revision += 1
+        for op in ops:
+            if isinstance(op, Put):
+                self.data[op.key] = (op.value, self.revision)
+            else:
+                self.data.pop(op.key, None)
+        return self.revision
+
+    async def commit(self, conditions: dict[str, int], ops: list[Any]) -> int:
+        if self.lose:
+            if self.lose.pop(0):
+                self.apply(conditions, ops)
+            raise StoreDoubtError("no answer")
+        return self.apply(conditions, ops)
+
+
+LIMITS = StateSettings(100.0, 50.0, 8.0, 12)
+
+
+def play(store: FakeStore, puts: list[Put]) -> list[Any]:
+    async def run() -> list[Any]:
+        client: Any = store
+        assert isinstance(client, FakeStore | StateClient)
+        writer = Writer(client, LIMITS, ("lead", 1), lambda: True, lambda: None)
+        futures = [writer.submit([put]) for put in puts]
+        task = asyncio.create_task(writer.run())
+        results = await asyncio.gather(*futures, return_exceptions=True)
+        writer.stop()
+        await task
+        return list(results)
+
+    return asyncio.run(run())
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("peathall.constants.STORE_RETRY_S", 0.0)
+
+
+def test_a_batch_is_one_commit() -> None:
+    store = FakeStore()
+    assert play(store, [Put("a", 1), Put("b", 2)]) == [2, 2]
+
+
+@pytest.mark.parametrize("carried_out", [True, False])
+def test_a_commit_without_an_answer_is_made_sure_of(carried_out: bool) -> None:
+    store = FakeStore()
+    store.lose = [carried_out]
+    assert play(store, [Put("a", 1), Put("b", 2)]) == [2, 2]
+    assert store.data["a"] == (1, 2)
+
+
+def test_another_ones_record_does_not_prove_that_our_batch_went_through() -> None:
+    """A follower had created the same job record; the fate beside it was never written,
+    and yet the job was called done."""
+    store = FakeStore()
+    store.write("job/j-1", {"same": 1})
+    store.lose = [False]
+    results = play(store, [Put("job/j-1", {"same": 1}), Put("fate/j-2", {"standing": "done"})])
+    assert isinstance(results[0], ConflictError)
+    assert store.data["fate/j-2"][1] == results[1]
+
+
+def test_a_conflict_fails_only_its_own_change() -> None:
+    store = FakeStore()
+    store.write("a", 0)
+    results = play(store, [Put("a", 1), Put("b", 2)])
+    assert isinstance(results[0], ConflictError)
+    assert store.data["b"][0] == 2
+
+
+def test_a_deposed_leader_writes_nothing() -> None:
+    store = FakeStore()
+    store.write("lead", {"member": "other"})
+    results = play(store, [Put("a", 1)])
+    assert isinstance(results[0], DeposedError)
+    assert "a" not in store.data
+
+
+def test_budgets_keep_their_rate() -> None:
+    budget = Budget(10.0)
+    now, spent = 0.0, 0
+    while now < 20.0:
+        pause = budget.wait(1, now)
+        spent += pause == 0
+        now += pause
+    assert 200 <= spent <= 211
+    # More than a burst at once is let through on a full bucket rather than never.
+    assert budget.wait(25, now + 5) == 0.0
+    assert budget.wait(1, now + 5) > 1.0
+
+
+def test_the_lead_lease_counts_from_the_sending() -> None:
+    lease = LeadLease(5.0, 100.0)
+    assert lease.alive(104.6)
+    assert not lease.alive(104.75)
+    lease.renewed(103.0)
+    lease.renewed(101.0)  # an older answer that came late shortens nothing
+    assert lease.alive(107.6)
+    assert not lease.alive(108.0)
+
+
+def test_tokens_and_attempts_of_a_later_term_are_higher() -> None:
+    assert token(1, 2**24 - 1) < token(2, 0)
+    assert first_attempt(2) == token(2, 0)
+
+
+def test_records_stay_under_the_limit() -> None:
+    size = block_tasks(8.0)
+    worst = Ranges([(n, n + 1) for n in range(99_000, 99_000 + 3 * size, 2)])
+    for block in range(99_000 // size, (99_000 + 3 * size) // size + 1):
+        assert json_size(done_record(worst, block, size)) < 8 * 1024
+    entries: list[list[Any]] = [[f"j-{n}", n, "m-1", [[0, n]]] for n in range(2000)]
+    pieces = split_record(entries, 2000)
+    assert [e for piece in pieces for e in piece] == entries
+    assert all(json_size(piece) <= 2100 for piece in pieces)
