--- a/peathall/books.py
+++ b/peathall/books.py
@@ -27,6 +27,7 @@
         self.usage: dict[str, list[float]] = {}  # team -> cpus, gpus of all live attempts
         self.rounds: dict[str, int] = {}  # round key -> attempts that may still exist
         self.next_attempt = first_attempt
+        self.last_arrival = -1e9  # steady time at which the latest job became known
         self.on_round_over: Callable[[str], None] = lambda key: None
         self.on_room: Callable[[], None] = lambda: None
 
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -70,6 +70,7 @@
 BOOT_PATIENCE = 4.0  # times startup_s; a machine that is not up by then is returned
 BOOT_PATIENCE_MIN_S = 60.0  # s; a deleted machine costs 60 s in any case
 UNLISTED_LAGS = 8.0  # list lags; a machine that reports no more and is unlisted so long is gone
+QUIET_HOLD_S = 4.0  # s; the same once no job has arrived for a boot time
 ACCOUNT_S = 30.0  # s; between lines that tell where the machines' time went
 GUARANTEED_HOLD_S = 300.0  # s; idle machines are kept so long where teams have guarantees
 IDLE_BOOTS = 1.0  # times startup_s; elsewhere: about what booting and fetching anew would cost
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -278,6 +278,8 @@
             return c.GUARANTEED_HOLD_S
         # A spot machine given back may come back only as an ordinary one.
         dearer = size.price / size.spot_price if machine.spot and size.spot_price else 1.0
+        if self.loop.time() - self.books.last_arrival > size.boot_s:
+            return c.QUIET_HOLD_S  # nothing arrives that it could be held for
         return c.IDLE_BOOTS * size.boot_s * dearer
 
     async def _return(self) -> None:
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -96,6 +96,7 @@
         if job is None:
             job = self.books.jobs[job_id] = Job(names.spec_from_record(item.value))
             self.writer.versions[item.key] = item.version
+            self.books.last_arrival = asyncio.get_running_loop().time()
             self.on_change()
         return job
 
