--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -56,6 +56,7 @@
 ROUND_GAP_S = 0.2  # s; least distance of two rounds: what arrives together is decided together
 ROUND_LOAD = 6.0  # times the last round's own duration is left between rounds: batches widen
 ROUND_IDLE_S = 2.0  # s; a round also runs this often, since deadlines and health move (DESIGN)
+SHAPE_MEMORY_S = 180.0  # s; room is kept for the next gang of a class that came so lately
 FETCH_WORTH_S = 10.0  # s; a longer fetch is worth clearing a machine that has the image
 URGENT_S = 30.0  # s; with more time left to meet an aim, a job waits rather than stop others
 
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from zlib import crc32
 
 from peathall import constants as c
@@ -239,8 +239,10 @@
         teams: dict[str, Team],
         usage: dict[str, list[float]],
         keep_ordinary: bool = False,
+        shapes: Sequence[JobSpec] = (),
     ) -> None:
         self.keep_ordinary = keep_ordinary
+        self.shapes = shapes
         self.machines = machines
         self.teams = teams
         self.usage = {team: list(use) for team, use in usage.items()}
@@ -322,6 +324,8 @@
             if home is not None and machine.zone != home:
                 continue
             count = min(machine.fits(spec), wanted)
+            if not job.urgent:
+                count = self.sparing(machine, spec, count)
             if spec.spread:
                 count = min(count, cap - job.running_zones.get(machine.zone, 0))
             if count > 0:
@@ -331,6 +335,20 @@
                 wanted -= count
         return wanted
 
+    def sparing(self, machine: MachineView, spec: JobSpec, count: int) -> int:
+        """As many tasks as leave room for one more gang task of each class, somewhere."""
+        for shape in self.shapes:
+            if not allowed(machine, shape) or not machine.fits(shape):
+                continue
+            if any(m is not machine and allowed(m, shape) and m.fits(shape) for m in self.machines):
+                continue
+            spare = [
+                a - b
+                for a, b in zip(machine.free, (shape.cpus, shape.gpus, shape.ram), strict=True)
+            ]
+            count = min(count, fits_in(spare, spec))
+        return count
+
     def zones(self, spec: JobSpec) -> list[str | None]:
         if not spec.one_zone:
             return [None]
@@ -526,8 +544,10 @@
     teams: dict[str, Team],
     usage: dict[str, list[float]],
     keep_ordinary: bool = False,
+    shapes: Sequence[JobSpec] = (),
 ) -> Plan:
-    current = Round(machines, teams, usage, keep_ordinary)
+    """`shapes`: a job of each class of gangs seen lately, for the next of which room is kept."""
+    current = Round(machines, teams, usage, keep_ordinary, shapes)
     for job in sorted(jobs, key=order):
         if job.todo > 0:
             current.place(job)
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -66,6 +66,7 @@
         self.loop = asyncio.get_running_loop()
         self.wake = asyncio.Event()
         self.number = 0
+        self.shapes: dict[str, JobSpec] = {}  # by class, see _shapes
         self.short: list[tuple[JobView, int]] = []
         self.leftover: dict[str, list[float]] = {}
         self.on_short: Callable[[], None] = lambda: None
@@ -140,7 +141,19 @@
         strict = any(
             not j.spec.spot for j in self.books.jobs.values() if j.phase is JobPhase.ACTIVE
         )
-        return make_plan(jobs, machines, self.teams, self.books.usage, strict)
+        return make_plan(jobs, machines, self.teams, self.books.usage, strict, self._shapes(wall))
+
+    def _shapes(self, wall: float) -> list[JobSpec]:
+        """The latest gang of each class that came lately."""
+        latest: dict[str, JobSpec] = {}
+        for job in self.books.jobs.values():
+            if job.spec.gang:
+                latest[job.spec.class_name] = job.spec
+        self.shapes |= latest
+        self.shapes = {
+            k: s for k, s in self.shapes.items() if wall - s.submitted < c.SHAPE_MEMORY_S
+        }
+        return list(self.shapes.values())
 
     def _usable(self, machine: Machine, now: float) -> bool:
         silent = self.workers.silence(machine, now)
