--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -57,6 +57,8 @@
 ROUND_LOAD = 6.0  # times the last round's own duration is left between rounds: batches widen
 ROUND_IDLE_S = 2.0  # s; a round also runs this often, since deadlines and health move (DESIGN)
 SHAPE_MEMORY_S = 180.0  # s; room is kept for the next gang of a class that came so lately
+SETTLED_S = 31.0  # s; a start that is stopped within 30 s does not count for the aims
+RESTART_S = 10.0  # s; what a stopped task loses besides work: queueing, a start, perhaps a fetch
 FETCH_WORTH_S = 10.0  # s; a longer fetch is worth clearing a machine that has the image
 URGENT_S = 30.0  # s; with more time left to meet an aim, a job waits rather than stop others
 
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -52,7 +52,7 @@
         self.priority = priority
         self.team = team
         self.guaranteed = guaranteed  # its job is within its own team's guarantee
-        self.lost = lost  # seconds of work that stopping it would lose
+        self.lost = lost  # machine seconds that stopping it would lose
         self.ends = ends  # seconds after which it should end by itself, by its owner's estimate
 
 
@@ -479,7 +479,7 @@
         if count >= wanted:
             return count, victims, cost
         usable = [v for v in machine.victims if self.may_stop(v, job)]
-        usable.sort(key=lambda v: (-v.priority, v.lost * (v.cpus + 8 * v.gpus), v.key))
+        usable.sort(key=lambda v: (-v.priority, v.lost, v.key))
         picked: list[Victim] = []
         for victim in usable:
             helps = (victim.cpus and spec.cpus) or (victim.gpus and spec.gpus) or victim.ram
@@ -493,7 +493,7 @@
             if now_fits > count:
                 count = now_fits
                 victims = list(picked)
-                cost = sum(v.lost + 1.0 for v in victims)
+                cost = sum(v.lost for v in victims)
                 if count >= wanted:
                     break
         return count, victims, cost
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -224,7 +224,11 @@
                 coming = [a + b for a, b in zip(coming, need, strict=True)]
                 continue
             ran = now - attempt.since if attempt.running else 0.0
-            lost = min(ran, spec.save_s) if spec.checkpoint_s else ran
+            lost = spec.save_s if spec.checkpoint_s else ran
+            if ran < c.SETTLED_S:
+                lost += c.SETTLED_S  # its start would not count any more
+            share = max(spec.cpus / machine.cpus, spec.gpus / max(machine.gpus, 1.0))
+            lost = (lost + c.RESTART_S) * share
             victims.append(
                 Victim(
                     (job_id, task),
