--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -59,6 +59,7 @@
 SHAPE_MEMORY_S = 180.0  # s; room is kept for the next gang of a class that came so lately
 SETTLED_S = 31.0  # s; a start that is stopped within 30 s does not count for the aims
 RESTART_S = 10.0  # s; what a stopped task loses besides work: queueing, a start, perhaps a fetch
+EFFORT_WEIGHT = 3.0  # times the seconds a job would fill the fleet are added to its latest start
 FETCH_WORTH_S = 10.0  # s; a longer fetch is worth clearing a machine that has the image
 URGENT_S = 30.0  # s; with more time left to meet an aim, a job waits rather than stop others
 
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -183,7 +183,17 @@
             for job in self.books.jobs.values():
                 if job.todo and job.phase is JobPhase.ACTIVE:
                     queued[job.spec.class_name] += len(job.todo)
-            log.info("%s; machines %s; queued %s", self.account.line(), dict(phases), dict(queued))
+            up = [m for m in self.books.machines.values() if m.phase is MachinePhase.UP]
+            log.info(
+                "%s; machines %s; cpus %.0f of %.0f, gpus %.0f of %.0f in use; queued %s",
+                self.account.line(),
+                dict(phases),
+                sum(m.cpus - m.free_cpus for m in up),
+                sum(m.cpus for m in up),
+                sum(m.gpus - m.free_gpus for m in up),
+                sum(m.gpus for m in up),
+                dict(queued),
+            )
 
     async def step(self) -> None:
         now = self.loop.time()
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -225,11 +225,21 @@
     return best if best is not None else spec.submitted + 1e7
 
 
-def order(job: JobView) -> tuple[float, ...]:
+def effort(job: JobView, totals: tuple[float, float]) -> float:
+    """Seconds for which the job's waiting tasks would fill the whole fleet."""
+    spec = job.spec
+    shares = [n / t for n, t in zip((spec.cpus, spec.gpus), totals, strict=True) if t > 0]
+    return job.todo * max(shares, default=0.0) * spec.estimate_s
+
+
+def order(job: JobView, totals: tuple[float, float]) -> tuple[float, ...]:
     # Gangs go before independent tasks of their priority: those fill any gap that is
     # left, while a gang would wait for ever for a gap as large as itself.
     spec = job.spec
-    return (spec.priority, not job.covered, not spec.gang, job.latest_start, spec.submitted)
+    # Small jobs go before large ones of about the same urgency: when not all can be in
+    # time, more of them are.
+    start = job.latest_start + c.EFFORT_WEIGHT * effort(job, totals)
+    return (spec.priority, not job.covered, not spec.gang, start, spec.submitted)
 
 
 class Round:
@@ -548,7 +558,8 @@
 ) -> Plan:
     """`shapes`: a job of each class of gangs seen lately, for the next of which room is kept."""
     current = Round(machines, teams, usage, keep_ordinary, shapes)
-    for job in sorted(jobs, key=order):
+    totals = (sum(m.cpus for m in machines), sum(m.gpus for m in machines))
+    for job in sorted(jobs, key=lambda j: order(j, totals)):
         if job.todo > 0:
             current.place(job)
     current.plan.leftover = {m.name: m.free for m in machines}
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -139,14 +139,20 @@
             self.starts.update(self.try_place(s, min(options)[2]))
 
 
+def plain_order(job: JobView, machines: list[MachineView]) -> tuple[float, ...]:
+    s, cpus, gpus = job.spec, sum(m.cpus for m in machines), sum(m.gpus for m in machines)
+    share = max(s.cpus / cpus, s.gpus / gpus if gpus else 0.0)
+    start = job.latest_start + 3.0 * s.tasks * share * s.estimate_s
+    return (s.priority, not s.gang, start, s.submitted)
+
+
 def test_the_planner_agrees_with_the_plain_model() -> None:
     rng = random.Random(3)
     placed = 0
     for _ in range(400):
         jobs, machines, teams = draw(rng)
         model = Model(machines, teams)
-        key = lambda j: (j.spec.priority, not j.spec.gang, j.latest_start, j.spec.submitted)  # noqa: E731
-        for job in sorted(jobs, key=key):
+        for job in sorted(jobs, key=lambda j: plain_order(j, machines)):
             model.place(job)
         plan = make_plan(jobs, machines, teams, {})
         got: Counter[tuple[str, str]] = Counter()
