--- /dev/null
+++ b/bench/cost.py
@@ -0,0 +1,90 @@
+"""Processor time of a check-in and of a round, at several times the sites' load.
+
+    PYTHONPATH=.:target/deps python3 bench/cost.py
+
+Prints milliseconds on this machine's core; a controller with 18% of a core takes about
+six times as long.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from types import SimpleNamespace
+from typing import Any
+
+from peathall.books import Books
+from peathall.jobs.model import AttemptPhase, Job
+from peathall.placement.service import Placement
+from peathall.settings import CloudSettings, Params, StateSettings, Team, WorkerSettings
+from peathall.wire import body, names
+from peathall.wire.names import JobSpec, MachineType
+from peathall.workers.model import MachinePhase
+from peathall.workers.service import Workers
+
+KIND = MachineType("g", 64.0, 4.0, 256.0, 100.0, 1.0, 10.0, 3.0, 30.0, ["a", "b"])
+
+
+def spec(number: int, tasks: int, gang: bool) -> JobSpec:
+    return JobSpec(
+        f"j-{number:06d}", "c", "t", gang, 1 if gang else 2, tasks, 14.0 if gang else 1.0,
+        2.0 if gang else 0.0, 2.0, f"img-{number % 5}", 5.0, None, None, gang, False, True, 40.0,
+        15.0, 4.0, None, float(number),
+    )  # fmt: skip
+
+
+async def measure(machines: int, jobs: int, tasks: int) -> None:
+    loop = asyncio.get_running_loop()
+    now = loop.time()
+    params = Params(
+        WorkerSettings(3.0, 24.0, 40.0, 4.0, 40.0), StateSettings(1e6, 1e6, 16.0, 16),
+        CloudSettings(4.0, 4.0), [Team("t")],
+    )  # fmt: skip
+    books = Books(1, 1 << 24)
+    books.types = {"g": KIND}
+    workers = Workers(books, params.workers, now, lambda: True, lambda job: None, lambda: None)
+    writer: Any = SimpleNamespace(versions={}, submit=lambda ops: None)
+    placement = Placement(books, params, writer, workers, lambda: 0.0, lambda: True)
+    for i in range(machines):
+        m = books.machine(f"m-{i:06d}", "g", "ab"[i % 2], False, MachinePhase.UP, now)
+        m.confirmed = True
+    for n in range(jobs):
+        books.jobs[f"j-{n:06d}"] = Job(spec(n, 2 if n % 3 == 0 else tasks, n % 3 == 0))
+    began = time.process_time()
+    plan = placement.decide(now)
+    first = time.process_time() - began
+    for start in plan.starts:
+        job, machine = books.jobs[start.job], books.machines[start.machine]
+        for task in job.todo.first(start.count):
+            attempt = books.book(job, task, books.new_attempt_number(), machine, "r")
+            attempt.enter(AttemptPhase.RUNNING, now)
+    began = time.process_time()
+    placement.decide(now)
+    full = time.process_time() - began
+    busiest = max(books.machines.values(), key=lambda m: len(m.attempts))
+    wire = {
+        "hall": busiest.name, "endpoint": "10.0.0.1:1", "build": "g", "ward": "a",
+        "standby": False, "tenure": 1, "tick": 0, "mandate": workers.token, "recall_s": None,
+        "parcels": [
+            {"parcel": f"{j}/{t}", "try": a.number, "standing": "running"}
+            for (j, t), a in busiest.attempts.items()
+        ],
+    }  # fmt: skip
+    rounds = 200
+    began = time.process_time()
+    for tick in range(rounds):
+        raw = body.cbor_bytes(wire | {"tick": tick})
+        report = names.report_from_wire(body.cbor_map(raw))
+        _, answer = workers.checkin(report, now)
+        body.cbor_bytes(answer)
+    each = (time.process_time() - began) / rounds
+    print(
+        f"{machines:4d} machines, {jobs:4d} jobs: round with empty fleet {first * 1e3:6.1f} ms "
+        f"({sum(s.count for s in plan.starts)} starts), with full fleet {full * 1e3:6.1f} ms; "
+        f"check-in with {len(busiest.attempts)} tasks {each * 1e3:5.2f} ms"
+    )
+
+
+if __name__ == "__main__":
+    for size in ((30, 40, 30), (48, 80, 30), (120, 160, 30), (240, 320, 30)):
+        asyncio.run(measure(*size))
