--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -60,6 +60,7 @@
 SETTLED_S = 31.0  # s; a start that is stopped within 30 s does not count for the aims
 RESTART_S = 10.0  # s; what a stopped task loses besides work: queueing, a start, perhaps a fetch
 EFFORT_WEIGHT = 3.0  # times the seconds a job would fill the fleet are added to its latest start
+ESTIMATE_FLOOR = 0.3  # of the estimate is expected to be left of a task that outlives it
 FETCH_WORTH_S = 10.0  # s; a longer fetch is worth clearing a machine that has the image
 URGENT_S = 30.0  # s; with more time left to meet an aim, a job waits rather than stop others
 
@@ -75,6 +76,7 @@
 BOOT_PATIENCE_MIN_S = 60.0  # s; a deleted machine costs 60 s in any case
 UNLISTED_LAGS = 8.0  # list lags; a machine that reports no more and is unlisted so long is gone
 QUIET_HOLD_S = 4.0  # s; the same once no job has arrived for a boot time
+TAKEN_S = 1.0  # s; after the time that a spot notice gave
 ACCOUNT_S = 30.0  # s; between lines that tell where the machines' time went
 GUARANTEED_HOLD_S = 300.0  # s; idle machines are kept so long where teams have guarantees
 IDLE_BOOTS = 1.0  # times startup_s; elsewhere: about what booting and fetching anew would cost
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -258,8 +258,10 @@
             patience = max(c.BOOT_PATIENCE_MIN_S, c.BOOT_PATIENCE * (size.boot_s if size else 60.0))
             return "it never came up" if now - machine.born > patience else ""
         if phase is MachinePhase.DRAINING:
-            if not machine.attempts and machine.taken_at is None:
+            if not machine.attempts:
                 return machine.why_draining
+            if machine.taken_at is not None and now > machine.taken_at + c.TAKEN_S:
+                return "taken back by now"  # the answer frees its tasks before their lease
             return ""
         quiet = self.workers.silence(machine, now)
         if (
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -71,6 +71,7 @@
         self.leftover: dict[str, list[float]] = {}
         self.on_short: Callable[[], None] = lambda: None
         books.on_round_over = self._round_over
+        workers.on_notice = self.evacuate
 
     # --- records -------------------------------------------------------------
     def load(self, items: list[Item], now: float) -> None:
@@ -82,6 +83,8 @@
                     continue  # archived, which is done only after all its attempts were gone
                 machine = self.books.machine(machine_name, "", "", False, MachinePhase.UNHEARD, now)
                 for task in Ranges(spans):
+                    if task in job.done:
+                        continue  # it has exited, and is never started again
                     if task in job.attempts:
                         # An older round still holds it: the later attempt was made
                         # after the earlier one was surely gone.
@@ -260,12 +263,29 @@
         job = self.books.jobs.get(job_id)
         if job is None or task not in job.attempts:
             return
-        grace = job.spec.save_s + c.SAVE_GRACE_S if job.spec.checkpoint_s else 0.0
         log.info("task %s/%d is stopped to make room", job_id, task)
         # A gang is stopped as a whole, or the save fails.
-        targets = list(job.attempts.values()) if job.spec.gang else [job.attempts[task]]
-        for attempt in targets:
-            self.workers.stop(attempt, grace, now)
+        for attempt in list(job.attempts.values()) if job.spec.gang else [job.attempts[task]]:
+            self._stop_in_order(attempt, now)
+
+    def evacuate(self, machine: Machine, now: float) -> None:
+        """The cloud takes the machine back soon: save what can be saved, and go on elsewhere."""
+        left = (machine.taken_at or now) - now
+        for attempt in list(machine.attempts.values()):
+            spec = attempt.job.spec
+            if attempt.stopping or attempt.job.phase is not JobPhase.ACTIVE:
+                continue
+            rest = max(spec.estimate_s - (now - attempt.since), spec.estimate_s * c.ESTIMATE_FLOOR)
+            if not spec.checkpoint_s and attempt.running and rest < left:
+                continue  # it may well be done before
+            targets = attempt.job.attempts.values() if spec.gang else [attempt]
+            for target in list(targets):
+                self._stop_in_order(target, now)
+
+    def _stop_in_order(self, attempt: Attempt, now: float) -> None:
+        spec = attempt.job.spec
+        grace = spec.save_s + c.SAVE_GRACE_S if spec.checkpoint_s else 0.0
+        self.workers.stop(attempt, grace, now)
 
     async def _start(self, plan: Plan, now: float) -> None:
         """Book the room, store the intent, and only then let the starts go out."""
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -69,6 +69,7 @@
         self.last_checkin = now
         self.on_images: Callable[[Machine], None] = lambda machine: None
         self.on_confirmed: Callable[[Machine], None] = lambda machine: None
+        self.on_notice: Callable[[Machine, float], None] = lambda machine, now: None
         self.on_gone: Callable[[Machine], None] = lambda machine: None
 
     # --- mandate and lease ---------------------------------------------------
@@ -126,11 +127,13 @@
             self.exits.pop(machine.name, None)
         machine.session, machine.seq = report.session, report.seq
         machine.last_heard = now
+        noticed = False
         if report.notice_s is not None and machine.taken_at is None:
             machine.taken_at = now + report.notice_s
             machine.why_draining = "spot notice"
             machine.enter(MachinePhase.DRAINING)
             log.info("machine %s will be taken in %.0f s", machine.name, report.notice_s)
+            noticed = True
             self.on_change()
         present: set[tuple[str, int, int]] = set()
         exits: list[Exits] = []
@@ -150,6 +153,8 @@
         if strays:
             log.error("machine %s runs tasks that are not in the books: %s", machine.name, strays)
         self.strays[machine.name] = strays
+        if noticed:
+            self.on_notice(machine, now)
         if conclusive and report.token >= self.base:
             for attempt in list(machine.attempts.values()):
                 if (attempt.job.spec.id, attempt.task, attempt.number) not in present:
--- a/tests/sim/test_days.py
+++ b/tests/sim/test_days.py
@@ -133,6 +133,9 @@
             world.cloud_down_until = loop.now + 8
         elif kind == "die" and world.workers:
             rng.choice(list(world.workers.values())).die()
+        elif kind == "notice":
+            for worker in [w for w in world.workers.values() if w.spot and w.state == "running"]:
+                world.recall(worker, rng.choice([3.0, 6.0]))
         elif kind == "sick" and world.workers:
             rng.choice(list(world.workers.values())).sick = True
         elif kind == "cut_worker" and world.workers:
@@ -181,6 +184,7 @@
 STORE = ["outage", "lossy", "crash_leader"]
 CUTS = ["cut_worker", "cut_node", "cut_state", "cut_workers", "cut_peers"]
 MACHINES = ["die", "sick", "cloud", "cut_worker"]
+SPOT = ["notice", "crash_leader", "notice", "cut_worker"]
 
 
 @pytest.mark.parametrize(
@@ -194,6 +198,8 @@
         (6, CRASHES + STORE + CUTS + MACHINES),
         (7, CRASHES + STORE + CUTS + MACHINES),
         (8, ["lossy", "crash_all"]),
+        (10, SPOT),
+        (11, SPOT + STORE),
         # Days on which something was found broken, with what had failed:
         (123, ["cut_node", "cut_state", "lossy"]),  # queued told while `done` was on its way
         (124, ["cut_node", "cut_state", "lossy"]),  # a doubtful commit taken for a carried-out one
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -348,6 +348,16 @@
             self.loop.call_later(kind["startup_s"] * (0.6 + self.rng.random()), self.boot, worker)
         return worker
 
+    def recall(self, worker: Worker, seconds: float) -> None:
+        """The cloud announces that it takes the machine back, and does."""
+        worker.notice = seconds
+        worker.kick.set()
+        self.loop.call_later(seconds, self.take, worker)
+
+    def take(self, worker: Worker) -> None:
+        if self.workers.pop(worker.name, None) is not None:
+            worker.die()
+
     def boot(self, worker: Worker) -> None:
         if worker.name in self.workers and worker.state == "starting":
             worker.run()
