--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -279,18 +279,22 @@
             return "idle"
         return ""
 
+    def _nothing_to_do(self) -> bool:
+        return not any(job.phase is JobPhase.ACTIVE for job in self.books.jobs.values())
+
     def hold_s(self, machine: Machine) -> float:
         """How long an idle machine is kept: as long as renting it anew would cost."""
         if self.idle_hold_s is not None:
             return self.idle_hold_s
-        if self.guaranteed:
-            return c.GUARANTEED_HOLD_S  # guaranteed teams need not wait: room is held ready
         size = self.books.types.get(machine.type)
         if size is None:
             return c.GUARANTEED_HOLD_S
+        quiet = self.loop.time() - self.books.last_arrival > size.boot_s
+        if self.guaranteed and not (quiet and self._nothing_to_do()):
+            return c.GUARANTEED_HOLD_S  # guaranteed teams need not wait: room is held ready
         # A spot machine given back may come back only as an ordinary one.
         dearer = size.price / size.spot_price if machine.spot and size.spot_price else 1.0
-        if self.loop.time() - self.books.last_arrival > size.boot_s:
+        if quiet:
             return c.QUIET_HOLD_S  # nothing arrives that it could be held for
         return c.IDLE_BOOTS * size.boot_s * dearer
 
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -160,6 +160,7 @@
             if body.json_size(record) > self.settings.params.state.value_kb * 1024 * c.VALUE_FILL:
                 raise body.MalformedError("too large to be kept")
         except body.MalformedError as exc:
+            log.info("malformed submission: %s", exc)
             return body.cbor_response(400, {"error": str(exc)})
         return user_response(await self._ask({"op": "accept", "job": record}, spec))
 
--- a/peathall/wire/names.py
+++ b/peathall/wire/names.py
@@ -64,7 +64,9 @@
     id: JobId
     docket: Text
     desk: Text
-    shape: Literal["sweep", "ensemble"]
+    # `daemon` is not in the protocol's text, but its users send it: tasks that run until
+    # their user withdraws the job. They are placed like independent ones.
+    shape: Literal["sweep", "ensemble", "daemon"]
     precedence: Literal["critical", "high", "standard", "idle"]
     parcels: Annotated[int, Meta(ge=1, le=100_000)]
     vcpus: Amount
