--- a/peathall/books.py
+++ b/peathall/books.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from peathall.jobs.model import Attempt, AttemptPhase, Job
-from peathall.wire.names import JobSpec, MachineType, Standing
+from peathall.wire.names import MachineType, Standing
 from peathall.workers.model import Machine, MachinePhase
 
 log = logging.getLogger("peathall.books")
@@ -94,7 +94,3 @@
         for attempt in lost:
             self.release(attempt, now)
         return lost
-
-    def spec(self, job_id: str) -> JobSpec | None:
-        job = self.jobs.get(job_id)
-        return job.spec if job else None
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -26,11 +26,6 @@
     GONE = auto()  # surely not on the machine; its room is free
 
 
-ON_MACHINE = frozenset(
-    {AttemptPhase.FETCHING, AttemptPhase.WAITING, AttemptPhase.RUNNING, AttemptPhase.SAVING}
-)
-
-
 class Attempt:
     """One start of one task on one machine. It takes room until it is GONE."""
 
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -25,7 +25,6 @@
     __slots__ = (
         "cpus",
         "ends",
-        "gang_key",
         "gpus",
         "guaranteed",
         "key",
@@ -38,7 +37,6 @@
     def __init__(
         self,
         key: tuple[str, int],
-        gang_key: str | None,
         need: tuple[float, float, float],
         priority: int,
         team: str,
@@ -47,7 +45,6 @@
         ends: float = 0.0,
     ) -> None:
         self.key = key
-        self.gang_key = gang_key  # job id if stopping one task ends the whole gang
         self.cpus, self.gpus, self.ram = need
         self.priority = priority
         self.team = team
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -235,7 +235,6 @@
             victims.append(
                 Victim(
                     (job_id, task),
-                    job_id if spec.gang else None,
                     need,
                     spec.priority,
                     spec.team,
--- a/peathall/wire/names.py
+++ b/peathall/wire/names.py
@@ -19,8 +19,6 @@
 
 from peathall.wire.body import MalformedError
 
-COUNT_LIMIT = 2**64
-
 
 class Priority(IntEnum):
     CRITICAL = 0
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -164,7 +164,7 @@
 
 
 def victim(name: str, priority: int, team: str = "u", guaranteed: bool = False) -> Victim:
-    return Victim((name, 0), None, (4.0, 0.0, 8.0), priority, team, guaranteed, 1.0, 60.0)
+    return Victim((name, 0), (4.0, 0.0, 8.0), priority, team, guaranteed, 1.0, 60.0)
 
 
 def full(priority: int, **more: object) -> MachineView:
@@ -198,7 +198,7 @@
     small = JobView(spec(id="j-2", tasks=4, estimate_s=100.0), 4)
     brief = JobView(spec(id="j-3", tasks=1, estimate_s=5.0), 1)
     view = full(1)
-    view.victims = [Victim(("j-9", 0), None, (2.0, 0.0, 4.0), 1, "u", False, 1.0, 30.0)]
+    view.victims = [Victim(("j-9", 0), (2.0, 0.0, 4.0), 1, "u", False, 1.0, 30.0)]
     view.free = [2.0, 0.0, 4.0]
     plan = make_plan([gang, small, brief], [view], TEAMS, {})
     assert [(s.job, s.count) for s in plan.starts] == [("j-3", 1)]
