--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -292,10 +292,10 @@
         quiet = self.loop.time() - self.books.last_arrival > size.boot_s
         if self.guaranteed and not (quiet and self._nothing_to_do()):
             return c.GUARANTEED_HOLD_S  # guaranteed teams need not wait: room is held ready
-        # A spot machine given back may come back only as an ordinary one.
-        dearer = size.price / size.spot_price if machine.spot and size.spot_price else 1.0
         if quiet:
             return c.QUIET_HOLD_S  # nothing arrives that it could be held for
+        # A spot machine given back may come back only as an ordinary one.
+        dearer = size.price / size.spot_price if machine.spot and size.spot_price else 1.0
         return c.IDLE_BOOTS * size.boot_s * dearer
 
     async def _return(self) -> None:
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -263,9 +263,7 @@
         if job is None or task not in job.attempts:
             return
         log.info("task %s/%d is stopped to make room", job_id, task)
-        # A gang is stopped as a whole, or the save fails.
-        for attempt in list(job.attempts.values()) if job.spec.gang else [job.attempts[task]]:
-            self._stop_in_order(attempt, now)
+        self._stop_in_order(job.attempts[task], now)
 
     def evacuate(self, machine: Machine, now: float) -> None:
         """The cloud takes the machine back soon: save what can be saved, and go on elsewhere."""
@@ -277,14 +275,14 @@
             rest = max(spec.estimate_s - (now - attempt.since), spec.estimate_s * c.ESTIMATE_FLOOR)
             if not spec.checkpoint_s and attempt.running and rest < left:
                 continue  # it may well be done before
-            targets = attempt.job.attempts.values() if spec.gang else [attempt]
-            for target in list(targets):
-                self._stop_in_order(target, now)
+            self._stop_in_order(attempt, now)
 
     def _stop_in_order(self, attempt: Attempt, now: float) -> None:
+        """With time to save; a gang is stopped as a whole, or the save fails."""
         spec = attempt.job.spec
         grace = spec.save_s + c.SAVE_GRACE_S if spec.checkpoint_s else 0.0
-        self.workers.stop(attempt, grace, now)
+        for target in list(attempt.job.attempts.values()) if spec.gang else [attempt]:
+            self.workers.stop(target, grace, now)
 
     async def _start(self, plan: Plan, now: float) -> None:
         """Book the room, store the intent, and only then let the starts go out."""
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -263,7 +263,7 @@
 
     def _own(self, attempt: Attempt) -> bool:
         """Started in this term, not inherited from records."""
-        return attempt.number >= token(self.books.term, 0)
+        return attempt.number >= self.base
 
     def _lost(self, attempts: list[Attempt], now: float) -> None:
         for attempt in attempts:
