--- /dev/null
+++ b/peathall/__init__.py
@@ -0,0 +1,3 @@
+"""peathall: a cluster scheduler; one leader decides, the other controllers stand by."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/peathall/books.py
@@ -0,0 +1,99 @@
+"""What the leader knows in one term: jobs, machines, attempts, rounds, usage.
+
+Rebuilt from records and reports in every term, and thrown away with it. Every
+attempt is booked and released here and nowhere else.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from peathall.jobs.model import Attempt, AttemptPhase, Job
+from peathall.wire.names import JobSpec, MachineType, Standing
+from peathall.workers.model import Machine, MachinePhase
+
+log = logging.getLogger("peathall.books")
+
+
+class Books:
+    def __init__(self, term: int, first_attempt: int) -> None:
+        self.term = term
+        self.jobs: dict[str, Job] = {}
+        self.past: dict[str, Standing] = {}
+        self.machines: dict[str, Machine] = {}
+        self.deleted: set[str] = set()
+        self.types: dict[str, MachineType] = {}
+        self.usage: dict[str, list[float]] = {}  # team -> cpus, gpus of all live attempts
+        self.rounds: dict[str, int] = {}  # round key -> attempts that may still exist
+        self.next_attempt = first_attempt
+        self.on_round_over: Callable[[str], None] = lambda key: None
+        self.on_room: Callable[[], None] = lambda: None
+
+    def new_attempt_number(self) -> int:
+        self.next_attempt += 1
+        return self.next_attempt
+
+    def machine(
+        self, name: str, type_: str, zone: str, spot: bool, phase: MachinePhase, now: float
+    ) -> Machine:
+        """The machine of this name, made known if it is new."""
+        found = self.machines.get(name)
+        if found is None:
+            found = Machine(name, type_, zone, spot, phase)
+            found.born = found.idle_since = found.last_heard = found.listed_at = now
+            self.machines[name] = found
+        if type_ and not found.type:
+            found.type, found.zone, found.spot = type_, zone, spot
+        size = self.types.get(found.type)
+        if size is not None and not found.cpus:
+            found.set_size(size)
+        return found
+
+    def book(self, job: Job, task: int, number: int, machine: Machine, round_key: str) -> Attempt:
+        attempt = Attempt(job, task, number, machine.name, round_key)
+        job.attempts[task] = attempt
+        job.todo.remove(task)
+        machine.take(attempt)
+        use = self.usage.setdefault(job.spec.team, [0.0, 0.0])
+        use[0] += job.spec.cpus
+        use[1] += job.spec.gpus
+        self.rounds[round_key] = self.rounds.get(round_key, 0) + 1
+        return attempt
+
+    def release(self, attempt: Attempt, now: float) -> None:
+        """The attempt is surely not on its machine, nor will it ever be."""
+        if attempt.phase is AttemptPhase.GONE:
+            return
+        attempt.enter(AttemptPhase.GONE, now)
+        job = attempt.job
+        self.machines[attempt.machine].give_back(attempt, now)
+        del job.attempts[attempt.task]
+        job.requeue(attempt.task)
+        use = self.usage[job.spec.team]
+        use[0] -= job.spec.cpus
+        use[1] -= job.spec.gpus
+        left = self.rounds[attempt.round] - 1
+        self.rounds[attempt.round] = left
+        if not left:
+            del self.rounds[attempt.round]
+            self.on_round_over(attempt.round)
+        self.on_room()
+
+    def remove_machine(self, machine: Machine, now: float, why: str) -> list[Attempt]:
+        """The machine and all that was on it are gone; its attempts are released."""
+        machine.enter(MachinePhase.GONE)
+        lost = self.release_all(machine, now)
+        self.machines.pop(machine.name, None)
+        log.info("machine %s is gone (%s), %d tasks lost", machine.name, why, len(lost))
+        return lost
+
+    def release_all(self, machine: Machine, now: float) -> list[Attempt]:
+        lost = list(machine.attempts.values())
+        for attempt in lost:
+            self.release(attempt, now)
+        return lost
+
+    def spec(self, job_id: str) -> JobSpec | None:
+        job = self.jobs.get(job_id)
+        return job.spec if job else None
--- /dev/null
+++ b/peathall/constants.py
@@ -0,0 +1,75 @@
+"""Every constant of the service, with its unit and the reason for its value.
+
+What a site decides (lease lengths, budgets, machine types, aims) is not here: it
+is read from the settings file or asked of the cloud at run time.
+"""
+
+# --- HTTP -------------------------------------------------------------------
+MAX_BODY = 64 * 1024  # bytes; the protocol's limit for request bodies
+IDLE_CONNECTION_S = 40.0  # s; users poll every 5 s and workers every 3 s: longer is abandoned
+SLOW_REQUEST_S = 10.0  # s; a request that takes longer to arrive is a slow or broken client
+SWEEP_S = 5.0  # s; how often idle and slow connections are looked for (one timer for all)
+FD_SHARE = 0.75  # of the socket limit may be held by callers; the rest is for our own calls
+CONNECT_S = 1.0  # s; connections behind a cut hang without an error
+POOL_IDLE_S = 20.0  # s; a pooled connection unused for longer is not trusted any more
+
+# --- state service ----------------------------------------------------------
+STORE_TIMEOUT_S = 1.5  # s; answers take 10 ms, now and then a few hundred
+STORE_RETRY_S = 0.25  # s; pause after 429, 503 or silence, so that an outage costs few requests
+LEADER_RPS_SHARE = 0.7  # of the request budget; the followers' watches and fallbacks share the rest
+FOLLOWER_RPS_SHARE = 0.12  # of the request budget, each
+LEADER_WRITE_SHARE = 0.85  # of the write budget
+FOLLOWER_WRITE_SHARE = 0.07  # of the write budget, each: only accepts without a leader
+WATCH_HOLD_S = 6.0  # s; a watch behind a silent cut is noticed after this plus the timeout
+VALUE_FILL = 0.85  # of value_kb is used, since the limit counts another encoding than we measure
+TXN_BYTES = 48 * 1024  # bytes of one transaction, kept clear of the 64 KiB limit
+
+# --- leadership -------------------------------------------------------------
+LEAD_TTL_S = 5.0  # s; a take-over waits this long, a slow renewal must not lose the lead
+RENEW_S = 1.1  # s; four tries fit into one lease
+DRIFT = 0.0005  # part; steady clocks of two machines differ by up to 0.05%
+LEAD_MARGIN_S = 0.3  # s; the last act before the lease ends must have left by then
+CAMPAIGN_JITTER_S = 0.25  # s; spreads candidates, so that one wins at the first try
+REST_S = 25.0  # s; a leader that the workers could not reach stands back for this long
+REST_VACANT_S = 6.0  # s; ... unless nobody else has taken the lead for this long
+UNREACHED_S = 7.0  # s; two missed reports of every machine, while they knock elsewhere
+
+# --- workers ----------------------------------------------------------------
+LAPSE_MARGIN_S = 1.0  # s; over the lease and the drift, for our own late timers
+TICK_S = 1.0  # s; how often leases are checked; room returns at most this much late
+SUSPECT_REPORTS = 3.0  # missed report intervals; no new work goes to such a machine (DESIGN)
+LOST_REPORTS = 5.0  # missed report intervals; then deleting it frees its tasks before its lease
+HEARD_SHARE = 0.6  # of the machines must be heard before silence is blamed on the machine
+CHECKIN_HOLD_S = 1.5  # s; a check-in that meets a leader still reading its records waits (4 s limit)
+SICK_JOBS = 2  # different jobs that failed in a row on a machine before it is emptied
+ERROR_BACKOFF_S = 2.0  # s; doubled with each failure of a job, so that a broken one is slowed
+ERROR_BACKOFF_MAX_S = 60.0  # s; a mistaken job stays until its user cancels it
+SAVE_GRACE_S = 3.0  # s; added to the time that a task needs to save
+DIRECT_TIMEOUT_S = 2.0  # s; a direct order without an answer is repeated by the next check-in
+
+# --- placement --------------------------------------------------------------
+ROUND_GAP_S = 0.2  # s; least distance of two rounds: what arrives together is decided together
+ROUND_LOAD = 6.0  # times the last round's own duration is left between rounds: batches widen
+ROUND_IDLE_S = 2.0  # s; a round also runs this often, since deadlines and health move (DESIGN)
+
+# --- fleet ------------------------------------------------------------------
+LIST_S = 3.0  # s; between looks at the machine list
+TYPES_S = 60.0  # s; prices move slowly
+CLOUD_TIMEOUT_S = 4.0  # s; cloud answers take some 100 ms
+HIRE_MAX = 50  # machines in one rental request (protocol)
+DELETE_MAX = 100  # names in one deletion request (protocol)
+LIST_PAGE = 500  # machines in one page of the list (protocol)
+NO_CAPACITY_S = 12.0  # s; before a refused type, zone and kind is asked for again
+BOOT_PATIENCE = 4.0  # times startup_s; a machine that is not up by then is returned
+BOOT_PATIENCE_MIN_S = 60.0  # s; a deleted machine costs 60 s in any case
+UNLISTED_LAGS = 8.0  # list lags; a machine that reports no more and is unlisted so long is gone
+IDLE_HOLD_S = 60.0  # s; an idle machine is kept this long when no guarantee asks for it
+
+# --- peers ------------------------------------------------------------------
+FORWARD_S = 1.2  # s; a query's user waits 2 s, so the store can still be asked
+ACCEPT_S = 1.5  # s; a commit usually takes 10 ms; after this the user is told when to come back
+RETRY_AFTER_S = 1  # s; told with 503: the earliest at which users come back
+FALLBACK_S = 0.7  # s; asking the store itself must leave time for the answer
+PING_S = 1.5  # s; between looks at each peer
+KNOCK_S = 5.0  # s; check-ins that a follower turned away count as knocks for this long
+CUT_OFF_S = 6.0  # s; without store and peers for so long a controller calls itself unhealthy
--- /dev/null
+++ b/peathall/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Slice `fleet`: renting machines from the cloud and returning them."""
--- /dev/null
+++ b/peathall/fleet/service.py
@@ -0,0 +1,321 @@
+"""The cloud: renting, listing, returning. The only part that talks to it."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from peathall import constants as c
+from peathall.books import Books
+from peathall.fleet.planner import Offer, all_offers, plan_rentals
+from peathall.placement.planner import JobView
+from peathall.settings import CloudSettings, Params, WorkerSettings
+from peathall.store.budget import Budget
+from peathall.store.client import Put
+from peathall.store.writer import Writer
+from peathall.wire import body, names
+from peathall.wire.http import HttpClient, NoAnswerError
+from peathall.wire.names import ListedMachine, MachineType
+from peathall.workers.model import Machine, MachinePhase
+from peathall.workers.service import Workers
+
+log = logging.getLogger("peathall.fleet")
+
+TYPES = "types"
+
+
+class CloudError(Exception):
+    """The cloud gave no useful answer; `sent` as in NoAnswerError."""
+
+    def __init__(self, why: str, sent: bool) -> None:
+        super().__init__(why)
+        self.sent = sent
+
+
+class NoCapacityError(Exception):
+    """Nothing of this type, zone and kind is to be had now."""
+
+
+class CloudClient:
+    def __init__(self, addr: str, settings: CloudSettings) -> None:
+        self.http = HttpClient(addr)
+        self.loop = asyncio.get_running_loop()
+        self.budget = Budget(settings.rps * 0.9, settings.rps)
+
+    async def _ask(self, method: str, path: str, value: Any = None) -> Any:
+        while (pause := self.budget.wait(1, self.loop.time())) > 0:
+            await asyncio.sleep(pause)
+        data = b"" if value is None else body.cbor_bytes(value)
+        try:
+            status, raw = await self.http.request(method, path, data, c.CLOUD_TIMEOUT_S)
+            answer = body.cbor_any(raw)
+        except NoAnswerError as exc:
+            raise CloudError(str(exc), exc.sent) from None
+        except Exception as exc:
+            raise CloudError(f"garbled answer: {exc}", True) from None
+        if status == 503 and "capacity" in str((answer or {}).get("error", "")):
+            raise NoCapacityError
+        if status != 200:
+            raise CloudError(f"cloud: {status}", False)
+        return answer
+
+    async def types(self) -> list[dict[str, Any]]:
+        return list((await self._ask("GET", "/machine_types"))["builds"])
+
+    async def machines(self) -> list[ListedMachine]:
+        found: list[ListedMachine] = []
+        after = ""
+        while True:
+            path = f"/hosts?most={c.LIST_PAGE}" + (f"&after={quote(after)}" if after else "")
+            raw = await self._ask("GET", path)
+            page = [names.listed_from_wire(x) for x in raw["halls"]]
+            found += page
+            if not raw.get("more") or not page:
+                return found
+            after = page[-1].name
+
+    async def rent(self, request: str, offer: Offer, count: int) -> list[str]:
+        wire = {
+            "hire": request, "build": offer.type.name, "ward": offer.zone,
+            "standby": offer.spot, "how_many": count,
+        }  # fmt: skip
+        return [str(x) for x in (await self._ask("POST", "/hosts", wire))["halls"]]
+
+    async def delete(self, machines: list[str]) -> None:
+        await self._ask("POST", "/hosts/delete", {"halls": machines})
+
+
+class Fleet:
+    def __init__(
+        self,
+        books: Books,
+        params: Params,
+        cloud: CloudClient,
+        writer: Writer,
+        workers: Workers,
+        may_act: Callable[[], bool],
+        on_change: Callable[[], None],
+        idle_hold_s: float,
+    ) -> None:
+        self.books = books
+        self.params = params
+        self.settings: WorkerSettings = params.workers
+        self.cloud = cloud
+        self.writer = writer
+        self.workers = workers
+        self.may_act = may_act
+        self.on_change = on_change
+        self.idle_hold_s = idle_hold_s
+        self.loop = asyncio.get_running_loop()
+        self.refused: dict[tuple[str, str, bool], float] = {}
+        self.number = 0
+        self.wake = asyncio.Event()
+        self.short: list[tuple[JobView, int]] = []
+        self.unsure: list[tuple[str, Offer, int]] = []  # rentals without an answer
+        self.failed: list[str] = []  # stopped by themselves; to be taken off the list
+        self.listed_once = False
+        self.list_at = -1e9
+        self.types_at = -1e9
+        self.raw_types: list[dict[str, Any]] = []
+
+    # --- machine types -------------------------------------------------------
+    def set_types(self, raw: list[dict[str, Any]]) -> None:
+        types = [names.machine_type_from_wire(x) for x in raw]
+        self.books.types = {t.name: t for t in types}
+        self.raw_types = raw
+        for machine in self.books.machines.values():
+            size = self.books.types.get(machine.type)
+            if size is not None and not machine.cpus:
+                machine.set_size(size)
+
+    async def _refresh_types(self, now: float) -> None:
+        self.types_at = now
+        raw = await self.cloud.types()
+        known = bool(self.books.types)
+        if raw != self.raw_types:
+            self.set_types(raw)
+            # Kept in the store, so that a leader that starts during an outage of
+            # the cloud can still judge jobs and place them.
+            self.writer.submit([Put(TYPES, {"builds": raw})])
+        if not known:
+            self.on_change()
+
+    # --- loop ----------------------------------------------------------------
+    def nudge(self) -> None:
+        self.wake.set()
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await asyncio.wait_for(self.wake.wait(), c.TICK_S)
+            except TimeoutError:
+                pass
+            self.wake.clear()
+            if not self.may_act():
+                continue
+            try:
+                await self.step()
+            except CloudError as exc:
+                log.info("%s", exc)
+                await asyncio.sleep(c.TICK_S)
+
+    async def step(self) -> None:
+        now = self.loop.time()
+        if not self.books.types or now - self.types_at > c.TYPES_S:
+            await self._refresh_types(now)
+        if now - self.list_at > c.LIST_S:
+            self.list_at = now
+            self._compare(await self.cloud.machines(), self.loop.time())
+        await self._return()
+        await self._rent()
+
+    # --- list ----------------------------------------------------------------
+    def _compare(self, listed: list[ListedMachine], now: float) -> None:
+        self.listed_once = True
+        for item in listed:
+            if item.name in self.books.deleted:
+                continue
+            machine = self.books.machine(
+                item.name, item.type, item.zone, item.spot, MachinePhase.BOOTING, now - item.age_s
+            )
+            machine.listed_at = now
+            if not machine.addr:
+                machine.addr = item.addr
+            if item.state == "failed":
+                # It has stopped by itself, and everything on it with it.
+                self.workers.machine_gone(machine, now, "failed")
+                self.failed.append(item.name)
+        patience = c.UNLISTED_LAGS * max(1.0, self.params.cloud.list_lag_s)
+        for machine in list(self.books.machines.values()):
+            quiet = self.workers.silence(machine, now)
+            if now - machine.listed_at > patience and quiet > patience and not machine.attempts:
+                # Taken back by the cloud, or never rented. Its room was returned before,
+                # by the lapse of its lease; being unlisted alone proves nothing.
+                self.workers.machine_gone(machine, now, "not listed any more")
+
+    # --- returning -----------------------------------------------------------
+    def _heard_share(self, now: float) -> float:
+        up = [m for m in self.books.machines.values() if m.phase is MachinePhase.UP]
+        if not up:
+            return 0.0
+        limit = c.SUSPECT_REPORTS * self.settings.report_s
+        return sum(self.workers.silence(m, now) < limit for m in up) / len(up)
+
+    def _to_delete(self, now: float) -> list[Machine]:
+        heard = self._heard_share(now) >= c.HEARD_SHARE
+        chosen = []
+        for machine in self.books.machines.values():
+            why = self._why_delete(machine, now, heard)
+            if why:
+                if machine.phase is not MachinePhase.DELETING:
+                    log.info("machine %s is to be deleted: %s", machine.name, why)
+                chosen.append(machine)
+        return chosen[: c.DELETE_MAX - 20]
+
+    def _why_delete(self, machine: Machine, now: float, heard: bool) -> str:
+        phase = machine.phase
+        if phase is MachinePhase.DELETING:
+            return "again"
+        if phase is MachinePhase.BOOTING:
+            size = self.books.types.get(machine.type)
+            patience = max(c.BOOT_PATIENCE_MIN_S, c.BOOT_PATIENCE * (size.boot_s if size else 60.0))
+            return "it never came up" if now - machine.born > patience else ""
+        if phase is MachinePhase.DRAINING:
+            if not machine.attempts and machine.taken_at is None:
+                return machine.why_draining
+            return ""
+        quiet = self.workers.silence(machine, now)
+        if phase is MachinePhase.UP and heard and quiet > c.LOST_REPORTS * self.settings.report_s:
+            return f"silent for {quiet:.0f} s"
+        if (
+            phase is MachinePhase.UP
+            and not machine.attempts
+            and now - machine.idle_since > self.idle_hold_s
+            and not self._wanted_idle(machine)
+        ):
+            return "idle"
+        return ""
+
+    def _wanted_idle(self, machine: Machine) -> bool:
+        """Guaranteed room is held ready, since its teams need not wait for others."""
+        guaranteed = sum(t.gpus for t in self.params.teams)
+        guaranteed_cpus = sum(t.cpus for t in self.params.teams)
+        return (guaranteed > 0 and machine.gpus > 0) or guaranteed_cpus > 0
+
+    async def _return(self) -> None:
+        now = self.loop.time()
+        chosen = self._to_delete(now)
+        extra, self.failed = self.failed, []
+        if not chosen and not extra:
+            return
+        for machine in chosen:
+            machine.enter(MachinePhase.DELETING)
+        try:
+            await self.cloud.delete([m.name for m in chosen] + extra)
+        except CloudError:
+            self.failed += extra
+            raise
+        # The answer proves that the machines and everything on them are gone.
+        now = self.loop.time()
+        for machine in chosen:
+            self.workers.machine_gone(machine, now, "deleted")
+        self.on_change()
+
+    # --- renting -------------------------------------------------------------
+    async def _rent(self) -> None:
+        now = self.loop.time()
+        # A rental without an answer is repeated under its own name until it has one.
+        for request, offer, count in list(self.unsure):
+            await self._request(request, offer, count)
+        if not self.listed_once:
+            return
+        coming = [self._offer(m) for m in self.books.machines.values()
+                  if m.phase is MachinePhase.BOOTING or (
+                      m.phase is MachinePhase.UP and not m.confirmed)]  # fmt: skip
+        offers = [
+            o
+            for o in all_offers(list(self.books.types.values()))
+            if self.refused.get(o.key, -1e9) < now
+        ]
+        rent = plan_rentals(self.short, [o for o in coming if o is not None], offers)
+        for offer, count in rent.items():
+            self.number += 1
+            # The term makes the name unique for good, whoever leads later.
+            request = f"r-{self.books.term}-{self.number}"
+            await self._request(request, offer, min(count, c.HIRE_MAX))
+
+    def _offer(self, machine: Machine) -> Offer | None:
+        size: MachineType | None = self.books.types.get(machine.type)
+        return Offer(size, machine.zone, machine.spot) if size else None
+
+    async def _request(self, request: str, offer: Offer, count: int) -> None:
+        entry = (request, offer, count)
+        if not self.may_act():
+            return
+        try:
+            got = await self.cloud.rent(request, offer, count)
+        except NoCapacityError:
+            if entry in self.unsure:
+                self.unsure.remove(entry)
+            self.refused[offer.key] = self.loop.time() + c.NO_CAPACITY_S
+            return
+        except CloudError as exc:
+            if exc.sent and entry not in self.unsure:
+                self.unsure.append(entry)
+            raise
+        if entry in self.unsure:
+            self.unsure.remove(entry)
+        if len(got) < count:
+            self.refused[offer.key] = self.loop.time() + c.NO_CAPACITY_S
+        log.info("rented %d of %d %s in %s%s", len(got), count, offer.type.name, offer.zone,
+                 " (spot)" if offer.spot else "")  # fmt: skip
+        now = self.loop.time()
+        for name in got:
+            if name not in self.books.deleted:
+                machine = self.books.machine(
+                    name, offer.type.name, offer.zone, offer.spot, MachinePhase.BOOTING, now
+                )
+                machine.born = now
--- /dev/null
+++ b/peathall/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Slice `jobs`: accepting, querying and cancelling jobs, and their records."""
--- /dev/null
+++ b/peathall/leader.py
@@ -0,0 +1,203 @@
+"""One reign: the slices of a leader, wired together over one set of books."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Awaitable, Callable
+from enum import Enum, auto
+from typing import Any
+
+from peathall import constants as c
+from peathall.books import Books
+from peathall.fleet.service import TYPES, CloudClient, Fleet
+from peathall.jobs import records
+from peathall.jobs.model import Job
+from peathall.jobs.service import NOT_NOW, Answer, Jobs
+from peathall.leadership.election import LEAD, Mandate
+from peathall.leadership.lease import first_attempt
+from peathall.placement.service import ROUND, Placement
+from peathall.settings import Operator, Settings
+from peathall.store.client import StateClient, StoreError
+from peathall.store.writer import Writer, WriterPhase
+from peathall.wire.names import JobSpec, Report
+from peathall.workers.service import Workers
+
+log = logging.getLogger("peathall.leader")
+
+
+class LeaderPhase(Enum):
+    REBUILDING = auto()
+    SERVING = auto()
+    OVER = auto()
+
+
+class Leader:
+    def __init__(
+        self,
+        settings: Settings,
+        operator: Operator,
+        store: StateClient,
+        cloud: CloudClient,
+        mandate: Mandate,
+        may_act: Callable[[], bool],
+        depose: Callable[[], None],
+    ) -> None:
+        params = settings.params
+        self.loop = asyncio.get_running_loop()
+        self.settings = settings
+        self.store = store
+        self.phase = LeaderPhase.REBUILDING
+        self.ready = asyncio.Event()
+        self._lease_alive = may_act
+        now = self.loop.time()
+        self.books = Books(mandate.term, first_attempt(mandate.term))
+        self.writer = Writer(store, params.state, (LEAD, mandate.version), may_act, depose)
+        self.workers = Workers(
+            self.books, params.workers, now, self.may_act, self._done, self._nudge
+        )
+        self.jobs = Jobs(
+            self.books, params, store, self.writer, time.time, self._nudge, self._cancelled
+        )
+        self.placement = Placement(
+            self.books, params, self.writer, self.workers, time.time, self.may_act
+        )
+        hold = c.IDLE_HOLD_S if operator.idle_hold_s is None else operator.idle_hold_s
+        self.fleet = Fleet(
+            self.books, params, cloud, self.writer, self.workers, self.may_act, self._nudge, hold
+        )
+        self.books.on_room = self._nudge
+        self.placement.on_short = self._short
+        self.requests: set[asyncio.Task[Answer]] = set()
+
+    def enter(self, phase: LeaderPhase) -> None:
+        if self.phase is not LeaderPhase.OVER:
+            self.phase = phase
+
+    def may_act(self) -> bool:
+        return self.phase is LeaderPhase.SERVING and self._lease_alive()
+
+    # --- between the slices --------------------------------------------------
+    def _nudge(self) -> None:
+        self.placement.nudge()
+
+    def _short(self) -> None:
+        self.fleet.short = self.placement.short
+        if self.placement.short:
+            self.fleet.nudge()
+
+    def _done(self, job: Job) -> None:
+        self.jobs.note_done(job)
+
+    def _cancelled(self, job: Job) -> None:
+        now = self.loop.time()
+        for attempt in list(job.attempts.values()):
+            self.workers.stop(attempt, 0.0, now)
+
+    # --- life ----------------------------------------------------------------
+    async def run(self) -> None:
+        writing = asyncio.create_task(self.writer.run())
+        tasks = [writing]
+        try:
+            revision = await self._rebuild()
+            self.enter(LeaderPhase.SERVING)
+            self.jobs.resume()
+            self.ready.set()
+            log.info(
+                "term %d serves: %d jobs, %d machines known",
+                self.books.term, len(self.books.jobs), len(self.books.machines),
+            )  # fmt: skip
+            for coro in (
+                self.jobs.follow(revision),
+                self.placement.run(),
+                self.fleet.run(),
+                self._tick(),
+            ):
+                tasks.append(asyncio.create_task(coro))
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                if not task.cancelled() and task.exception() is not None:
+                    raise task.exception()  # type: ignore[misc]
+        finally:
+            self.enter(LeaderPhase.OVER)
+            self.writer.stop()
+            self.jobs.close()
+            self.workers.close()
+            for task in tasks:
+                task.cancel()
+            for request in self.requests:
+                request.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _rebuild(self) -> int:
+        while True:
+            try:
+                types = await self.store.get(TYPES)
+                jobs, revision = await self.store.list(records.JOB)
+                fates, _ = await self.store.list(records.FATE)
+                done, _ = await self.store.list(records.DONE)
+                rounds, _ = await self.store.list(ROUND)
+                break
+            except StoreError as exc:
+                log.info("reading the records: %s", exc)
+                await asyncio.sleep(c.STORE_RETRY_S)
+        if types is not None:
+            self.writer.versions[TYPES] = types.version
+            self.fleet.set_types(types.value["builds"])
+        self.jobs.load(jobs, fates, done)
+        self.placement.load(rounds, self.loop.time())
+        self.workers.took_over = self.loop.time()
+        return revision
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(c.TICK_S)
+            if self.may_act():
+                self.workers.tick(self.loop.time())
+                for job in list(self.books.jobs.values()):
+                    self.jobs.archive_if_over(job)
+
+    # --- requests ------------------------------------------------------------
+    async def checkin(self, report: Report) -> tuple[int, dict[str, Any] | None]:
+        if self.phase is LeaderPhase.REBUILDING:
+            try:
+                await asyncio.wait_for(self.ready.wait(), c.CHECKIN_HOLD_S)
+            except TimeoutError:
+                return 503, None
+        if not self.may_act():
+            return 503, None
+        return self.workers.checkin(report, self.loop.time())
+
+    async def _bounded(self, work: Awaitable[Answer], limit: float) -> Answer:
+        """Answer within the limit; what was begun goes on, so memory and store agree."""
+        task = asyncio.ensure_future(work)
+        self.requests.add(task)
+        task.add_done_callback(self._reap)
+        done, _ = await asyncio.wait([task], timeout=limit)
+        if not done or task.cancelled() or task.exception() is not None or not self.may_act():
+            return NOT_NOW
+        return task.result()
+
+    def _reap(self, task: asyncio.Task[Answer]) -> None:
+        self.requests.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.info("request given up: %r", task.exception())
+
+    def _cannot_write(self) -> bool:
+        return not self.may_act() or self.writer.phase is WriterPhase.IN_DOUBT
+
+    async def accept(self, spec: JobSpec) -> Answer:
+        if self._cannot_write():
+            return NOT_NOW
+        return await self._bounded(self.jobs.accept(spec), c.ACCEPT_S)
+
+    async def query(self, job_id: str) -> Answer:
+        if not self.may_act():
+            return NOT_NOW
+        return await self._bounded(self.jobs.query(job_id), c.FORWARD_S)
+
+    async def cancel(self, job_id: str) -> Answer:
+        if self._cannot_write():
+            return NOT_NOW
+        return await self._bounded(self.jobs.cancel(job_id), c.ACCEPT_S)
--- /dev/null
+++ b/peathall/leadership/election.py
@@ -0,0 +1,218 @@
+"""Who leads. The `lead` key hangs on a lease; `term` counts take-overs for good.
+
+Both are written in one commit, so a term is never given twice. Others follow
+`lead` with a watch and stand for election once it is gone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from enum import Enum, auto
+from typing import Any
+
+from peathall import constants as c
+from peathall.leadership.lease import LeadLease
+from peathall.store.client import (
+    ConflictError,
+    LeaseGoneError,
+    Put,
+    StateClient,
+    StoreError,
+)
+
+log = logging.getLogger("peathall.leadership")
+
+LEAD = "lead"
+TERM = "term"
+
+
+class Phase(Enum):
+    FOLLOWING = auto()  # somebody leads, or we do not know
+    STANDING = auto()  # a campaign is under way
+    LEADING = auto()
+    RESTING = auto()  # gave the lead up since workers did not reach us
+
+
+class Mandate:
+    """What a won election gives: the term, `lead`'s version and the lease."""
+
+    def __init__(self, term: int, version: int, lease_id: int, lease: LeadLease) -> None:
+        self.term = term
+        self.version = version
+        self.lease_id = lease_id
+        self.lease = lease
+
+
+class Election:
+    def __init__(
+        self,
+        name: str,
+        store: StateClient,
+        lead: Callable[[Mandate], Awaitable[None]],
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self.store = store
+        self.lead = lead  # runs as long as we lead; returns when deposed
+        self.rng = rng
+        self.loop = asyncio.get_running_loop()
+        self.phase = Phase.FOLLOWING
+        self.leader: str | None = None  # who leads as far as we know
+        self.mandate: Mandate | None = None
+        self.rest_until = 0.0
+        self.vacant_since: float | None = None
+        self._deposed = asyncio.Event()
+
+    def _enter(self, phase: Phase) -> None:
+        if phase is not self.phase:
+            log.info("leadership: %s -> %s", self.phase.name, phase.name)
+            self.phase = phase
+
+    def may_act(self) -> bool:
+        return (
+            self.phase is Phase.LEADING
+            and self.mandate is not None
+            and self.mandate.lease.alive(self.loop.time())
+        )
+
+    def depose(self) -> None:
+        self._deposed.set()
+
+    async def run(self) -> None:
+        started = True
+        while True:
+            try:
+                item = await self.store.get(LEAD)
+                if item is not None and item.value.get("member") == self.name:
+                    # We are not leading, so this is an earlier life of ours or a
+                    # campaign whose answer was lost: nobody acts on it.
+                    log.info("ending the lease of an earlier life (term %s)", item.value["term"])
+                    await self._end(item.value["lease"])
+                    item = None
+                self._follow(item.value if item else None)
+                if item is None:
+                    if not self._resting():
+                        if not started:
+                            await asyncio.sleep(self.rng.random() * c.CAMPAIGN_JITTER_S)
+                        started = False
+                        await self._campaign()
+                    else:
+                        await asyncio.sleep(0.5)
+                else:
+                    await self._await_change(item.version)
+            except StoreError as exc:
+                log.debug("election: %s", exc)
+                await asyncio.sleep(c.STORE_RETRY_S)
+            started = False
+
+    def _resting(self) -> bool:
+        now = self.loop.time()
+        if self.vacant_since is None:
+            self.vacant_since = now
+        return now < self.rest_until and now - self.vacant_since < c.REST_VACANT_S
+
+    def _follow(self, value: dict[str, Any] | None) -> None:
+        leader = value["member"] if value else None
+        if leader != self.leader:
+            log.info("leader is now %s", leader)
+        self.leader = leader
+        if leader is not None:
+            self.vacant_since = None
+        self._enter(Phase.RESTING if self.loop.time() < self.rest_until else Phase.FOLLOWING)
+
+    async def _await_change(self, version: int) -> None:
+        after: int = version
+        while True:
+            result = await self.store.watch(LEAD, after)
+            if result is None:
+                return
+            after, changes = result
+            if any(change.key == LEAD for change in changes):
+                return
+
+    async def _end(self, lease_id: int) -> None:
+        try:
+            await self.store.end_lease(lease_id)
+        except StoreError as exc:
+            log.debug("ending a lease: %s", exc)
+
+    async def _campaign(self) -> None:
+        self._enter(Phase.STANDING)
+        term_item = await self.store.get(TERM)
+        term = (term_item.value["n"] if term_item else 0) + 1
+        sent = self.loop.time()
+        lease_id = await self.store.lease(c.LEAD_TTL_S)
+        record = {"member": self.name, "term": term, "lease": lease_id}
+        try:
+            version = await self.store.commit(
+                {LEAD: 0, TERM: term_item.version if term_item else 0},
+                [Put(LEAD, record, lease_id), Put(TERM, {"n": term})],
+            )
+        except (ConflictError, LeaseGoneError):
+            await self._end(lease_id)
+            return
+        # A commit without an answer ends up in run(): if it did go through, `lead`
+        # names us, that lease is ended, and the term is simply skipped.
+        self.mandate = Mandate(term, version, lease_id, LeadLease(c.LEAD_TTL_S, sent))
+        await self._reign(self.mandate)
+
+    async def _reign(self, mandate: Mandate) -> None:
+        self._deposed = asyncio.Event()
+        self.leader = self.name
+        self.vacant_since = None
+        self._enter(Phase.LEADING)
+        log.info("leading in term %d", mandate.term)
+        self.store.set_leading(True)
+        renewing = asyncio.create_task(self._renew(mandate))
+        leading = asyncio.ensure_future(self.lead(mandate))
+        deposed = asyncio.create_task(self._deposed.wait())
+        try:
+            await asyncio.wait([renewing, leading, deposed], return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            self.mandate = None
+            self._enter(Phase.FOLLOWING)
+            self.leader = None
+            self.store.set_leading(False)
+            for task in (renewing, leading, deposed):
+                task.cancel()
+            results = await asyncio.gather(renewing, leading, deposed, return_exceptions=True)
+            for result in results:
+                if isinstance(result, Exception):
+                    log.error("the reign ended by an error", exc_info=result)
+            log.info("no longer leading term %d", mandate.term)
+
+    async def _renew(self, mandate: Mandate) -> None:
+        """Renew until the lease is gone; an outage is waited out, in the same term."""
+        silent = False
+        while True:
+            sent = self.loop.time()
+            try:
+                await self.store.renew(mandate.lease_id, c.RENEW_S)
+                mandate.lease.renewed(sent)
+                if silent:
+                    log.info("the lease of term %d is alive again", mandate.term)
+                    silent = False
+                pause = c.RENEW_S
+            except LeaseGoneError:
+                log.info("the lease of term %d is gone", mandate.term)
+                return
+            except StoreError as exc:
+                if not silent and not mandate.lease.alive(self.loop.time()):
+                    log.info("standing still, the lease cannot be renewed: %s", exc)
+                    silent = True
+                pause = c.STORE_RETRY_S
+            await asyncio.sleep(pause)
+
+    async def resign(self, why: str) -> None:
+        """Give the lead up and stand back, since another controller can do better."""
+        if self.mandate is None:
+            return
+        log.info("resigning: %s", why)
+        self.rest_until = self.loop.time() + c.REST_S
+        lease_id = self.mandate.lease_id
+        self.mandate.lease.until = 0.0
+        self.depose()
+        await self._end(lease_id)
--- /dev/null
+++ b/peathall/leadership/lease.py
@@ -0,0 +1,30 @@
+"""How long a leader may act: pure arithmetic on the steady clock."""
+
+from __future__ import annotations
+
+from peathall import constants as c
+
+
+class LeadLease:
+    """Counted from the sending of the last good renewal, less drift and a margin."""
+
+    def __init__(self, ttl_s: float, sent: float) -> None:
+        self.ttl_s = ttl_s
+        self.until = 0.0
+        self.renewed(sent)
+
+    def renewed(self, sent: float) -> None:
+        self.until = max(self.until, sent + self.ttl_s * (1 - 2 * c.DRIFT) - c.LEAD_MARGIN_S)
+
+    def alive(self, now: float) -> bool:
+        return now < self.until
+
+
+def token(term: int, counter: int) -> int:
+    """Mandate of the workers' protocol: the term, then a counter the leader raises."""
+    return (term << 24) | counter
+
+
+def first_attempt(term: int) -> int:
+    """Attempt numbers grow within a term and never meet another term's."""
+    return term << 24
--- /dev/null
+++ b/peathall/node.py
@@ -0,0 +1,202 @@
+"""One controller: its listeners, its part in the election, and the way of each request."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import random
+import re
+import time
+from collections.abc import Awaitable
+from typing import Any
+
+import msgspec
+
+from peathall import constants as c
+from peathall.fleet.service import TYPES, CloudClient
+from peathall.jobs import fallback
+from peathall.jobs.service import NOT_NOW, Answer
+from peathall.leader import Leader
+from peathall.leadership.election import Election, Mandate
+from peathall.peers.service import Peers
+from peathall.settings import Operator, Settings, split_addr
+from peathall.store.client import StateClient, StoreError
+from peathall.wire import body, names
+from peathall.wire.http import HttpServer, NoAnswerError, Request, Response
+from peathall.wire.names import JobSpec, MachineType
+
+log = logging.getLogger("peathall.node")
+
+JOB_PATH = re.compile(r"/work/([^/]+)(/withdraw)?\Z")
+JOB_ID = re.compile(r"j-[0-9]{1,30}\Z")
+
+
+class Node:
+    def __init__(self, settings: Settings, operator: Operator) -> None:
+        self.settings = settings
+        self.operator = operator
+
+    def assemble(self) -> None:
+        settings = self.settings
+        self.loop = asyncio.get_running_loop()
+        self.store = StateClient(settings.services.state, settings.params.state)
+        self.cloud = CloudClient(settings.services.cloud, settings.params.cloud)
+        self.rng = random.Random()
+        self.election = Election(settings.name, self.store, self._lead, self.rng)
+        self.peers = Peers(settings.peers, self._forwarded)
+        self.leader: Leader | None = None
+        self.started = self.loop.time()
+        self.types: dict[str, MachineType] = {}
+        callers = int(settings.params.machine_limits.fd_limit * c.FD_SHARE)
+        self.api = HttpServer(self._serve, callers)
+        self.back = HttpServer(self.peers.serve, callers // 4)
+
+    async def run(self) -> None:
+        self.assemble()
+        gc.freeze()  # what start-up made stays: later collections need not look at it
+        await self.back.start(*split_addr(self.settings.peer_listen))
+        await self.api.start(*split_addr(self.settings.listen))
+        log.info("%s serves users and workers on %s", self.settings.name, self.settings.listen)
+        await asyncio.gather(
+            self.election.run(), self.peers.ping_all(), self._watch_reach(), self._learn_types()
+        )
+
+    # --- leading -------------------------------------------------------------
+    async def _lead(self, mandate: Mandate) -> None:
+        leader = Leader(
+            self.settings, self.operator, self.store, self.cloud, mandate,
+            self.election.may_act, self.election.depose,
+        )  # fmt: skip
+        self.leader = leader
+        try:
+            await leader.run()
+        finally:
+            self.leader = None
+
+    async def _watch_reach(self) -> None:
+        """A leader that workers cannot reach, while they reach others, gives way."""
+        while True:
+            await asyncio.sleep(c.PING_S)
+            leader, now = self.leader, self.loop.time()
+            if leader is None or not leader.may_act():
+                continue
+            since = max(leader.workers.last_checkin, leader.workers.took_over)
+            if now - since > c.UNREACHED_S and self.peers.knocks_elsewhere(now):
+                await self.election.resign("workers reach others, but not us")
+
+    async def _learn_types(self) -> None:
+        """Machine types for judging jobs while no leader can be reached."""
+        while True:
+            try:
+                item = await self.store.get(TYPES)
+                if item is not None:
+                    types = [names.machine_type_from_wire(x) for x in item.value["builds"]]
+                    self.types = {t.name: t for t in types}
+            except StoreError as exc:
+                log.debug("reading machine types: %s", exc)
+            await asyncio.sleep(c.TYPES_S if self.types else 2.0)
+
+    # --- the way of a request ------------------------------------------------
+    async def _serve(self, request: Request) -> Response:
+        path, method = request.path, request.method
+        if path == "/checkin":
+            return await self._checkin(request) if method == "POST" else Response(405)
+        if path == "/healthz":
+            return self._healthz() if method == "GET" else Response(405)
+        if path == "/work":
+            return await self._submit(request) if method == "POST" else Response(405)
+        match = JOB_PATH.match(path)
+        if match is None:
+            return body.cbor_response(404, {"error": "no such path"})
+        job_id, withdraw = match.groups()
+        if method != ("POST" if withdraw else "GET"):
+            return Response(405)
+        if not JOB_ID.match(job_id):
+            return body.cbor_response(404, {"error": "no such job"})
+        op = "cancel" if withdraw else "query"
+        return user_response(await self._ask({"op": op, "id": job_id}))
+
+    def _healthz(self) -> Response:
+        now = self.loop.time()
+        reached = now - self.store.last_good < c.CUT_OFF_S or self.peers.heard_any(now, c.CUT_OFF_S)
+        young = now - self.started < c.CUT_OFF_S
+        return Response(200 if reached or young else 503)
+
+    async def _checkin(self, request: Request) -> Response:
+        try:
+            report = names.report_from_wire(body.cbor_map(request.body))
+        except body.MalformedError as exc:
+            return body.cbor_response(400, {"error": str(exc)})
+        if self.leader is not None:
+            status, answer = await self.leader.checkin(report)
+            if status == 200:
+                return body.cbor_response(200, answer)
+            return body.cbor_response(503, {"error": "not entitled now"})
+        self.peers.knock(report.machine, self.loop.time())
+        steward = self.election.leader
+        if steward is None or steward == self.settings.name:
+            return body.cbor_response(421, {"error": "no leader"})
+        return body.cbor_response(421, {"steward": steward})
+
+    async def _submit(self, request: Request) -> Response:
+        try:
+            spec = names.job_from_wire(body.cbor_map(request.body), time.time())
+            record = names.spec_to_record(spec)
+            if body.json_size(record) > self.settings.params.state.value_kb * 1024 * c.VALUE_FILL:
+                raise body.MalformedError("too large to be kept")
+        except body.MalformedError as exc:
+            return body.cbor_response(400, {"error": str(exc)})
+        return user_response(await self._ask({"op": "accept", "job": record}, spec))
+
+    async def _ask(self, message: dict[str, Any], spec: JobSpec | None = None) -> Answer:
+        """The leader here, the leader elsewhere, or else the store itself."""
+        if self.leader is not None:
+            if self.leader.may_act():
+                return await self._local(self.leader, message, spec)
+        else:
+            steward = self.election.leader
+            if steward is not None and steward != self.settings.name:
+                try:
+                    answer = await self.peers.forward(steward, message, c.FORWARD_S)
+                    if answer[0] != 503:
+                        return answer
+                except NoAnswerError as exc:
+                    log.debug("forwarding: %s", exc)
+        return await self._fallback(message, spec)
+
+    async def _local(self, leader: Leader, message: dict[str, Any], spec: JobSpec | None) -> Answer:
+        op = message["op"]
+        if op == "accept":
+            return await leader.accept(spec or names.spec_from_record(message["job"]))
+        if op == "query":
+            return await leader.query(message["id"])
+        return await leader.cancel(message["id"])
+
+    async def _forwarded(self, message: dict[str, Any]) -> Answer:
+        if self.leader is None:
+            return NOT_NOW
+        try:
+            return await self._local(self.leader, message, None)
+        except (KeyError, msgspec.ValidationError):
+            return 400, None
+
+    async def _fallback(self, message: dict[str, Any], spec: JobSpec | None) -> Answer:
+        work: Awaitable[Answer]
+        if message["op"] == "query":
+            work = fallback.query(self.store, message["id"])
+        elif message["op"] == "accept" and spec is not None:
+            work = fallback.accept(self.store, spec, self.types, self.settings.params)
+        else:
+            return NOT_NOW
+        try:
+            return await asyncio.wait_for(work, c.FALLBACK_S)
+        except (StoreError, TimeoutError) as exc:
+            log.debug("asking the store: %s", exc)
+            return NOT_NOW
+
+
+def user_response(answer: Answer) -> Response:
+    status, value = answer
+    retry = c.RETRY_AFTER_S if status in (429, 503, 504) else None
+    return body.cbor_response(status, value if value is not None else {}, retry)
--- /dev/null
+++ b/peathall/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Slice `peers`: what controllers tell one another."""
--- /dev/null
+++ b/peathall/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Slice `placement`: which task runs on which machine; pure decisions."""
--- /dev/null
+++ b/peathall/placement/planner.py
@@ -0,0 +1,405 @@
+"""One round of placement decisions; pure: same arguments, same plan.
+
+Order of jobs: priority, then whether the team's guarantee covers the job, then
+who must start first to meet an aim, then age. Machines for a task, as the paper
+orders them: image cached, freshest report, least memory left, least CPU left,
+hash; before that stands the number of GPUs, so that scarce types stay free for
+what fits nowhere else.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from zlib import crc32
+
+from peathall.settings import Objective, Team
+from peathall.wire.names import JobSpec
+
+EPS = 1e-6  # of a CPU, GPU or GB; sums of decimal numbers are not exact
+
+
+class Victim:
+    """An attempt that could be stopped to make room."""
+
+    __slots__ = (
+        "cpus", "gang_key", "gpus", "guaranteed", "key", "lost", "priority", "ram", "team",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        key: tuple[str, int],
+        gang_key: str | None,
+        need: tuple[float, float, float],
+        priority: int,
+        team: str,
+        guaranteed: bool,
+        lost: float,
+    ) -> None:
+        self.key = key
+        self.gang_key = gang_key  # job id if stopping one task ends the whole gang
+        self.cpus, self.gpus, self.ram = need
+        self.priority = priority
+        self.team = team
+        self.guaranteed = guaranteed  # its job is within its own team's guarantee
+        self.lost = lost  # seconds of work that stopping it would lose
+
+
+class MachineView:
+    __slots__ = (
+        "coming", "cpus", "free", "gpus", "images", "name", "pulling", "ram", "spot", "stale",
+        "type", "victims", "zone",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        name: str,
+        type_: str,
+        zone: str,
+        spot: bool,
+        size: tuple[float, float, float],
+        free: tuple[float, float, float],
+        images: Iterable[str] = (),
+        pulling: Iterable[str] = (),
+        stale: int = 0,
+        coming: tuple[float, float, float] = (0.0, 0.0, 0.0),
+        victims: list[Victim] | None = None,
+    ) -> None:
+        self.name = name
+        self.type = type_
+        self.zone = zone
+        self.spot = spot
+        self.cpus, self.gpus, self.ram = size
+        self.free = list(free)
+        self.images = set(images)
+        self.pulling = set(pulling)
+        self.stale = stale  # whole report intervals since the last report
+        self.coming = list(coming)  # room of attempts that are being stopped
+        self.victims = victims or []
+
+    def fits(self, spec: JobSpec) -> int:
+        """How many tasks of the job fit into the free room."""
+        return fits_in(self.free, spec)
+
+    def take(self, spec: JobSpec, count: int) -> None:
+        self.free[0] -= spec.cpus * count
+        self.free[1] -= spec.gpus * count
+        self.free[2] -= spec.ram * count
+
+
+class JobView:
+    __slots__ = (
+        "covered", "latest_start", "lingering", "running_zones", "spec", "submitted", "todo",
+    )  # fmt: skip
+
+    def __init__(
+        self,
+        spec: JobSpec,
+        todo: int,
+        covered: bool = False,
+        latest_start: float = 0.0,
+        running_zones: dict[str, int] | None = None,
+        lingering: bool = False,
+    ) -> None:
+        self.spec = spec
+        self.todo = todo
+        self.covered = covered  # within the team's guarantee
+        self.latest_start = latest_start  # time of day; past means that the aim is missed
+        self.running_zones = running_zones or {}
+        self.lingering = lingering  # a gang with attempts that are not gone yet
+
+
+class Start:
+    __slots__ = ("count", "job", "machine")
+
+    def __init__(self, job: str, machine: str, count: int) -> None:
+        self.job = job
+        self.machine = machine
+        self.count = count
+
+    def __repr__(self) -> str:
+        return f"Start({self.job}, {self.machine}, {self.count})"
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Start) and repr(self) == repr(other)
+
+    __hash__ = None  # type: ignore[assignment]
+
+
+class Plan:
+    def __init__(self) -> None:
+        self.starts: list[Start] = []
+        self.stops: list[tuple[str, int]] = []  # (job, task) to be stopped with time to save
+        self.short: list[tuple[JobView, int]] = []  # jobs that lack room, and for how many tasks
+
+
+def fits_in(free: list[float], spec: JobSpec) -> int:
+    count = spec.tasks
+    for room, need in zip(free, (spec.cpus, spec.gpus, spec.ram), strict=True):
+        if need > 0:
+            count = min(count, int((room + EPS) / need))
+    return max(0, count)
+
+
+def allowed(machine: MachineView, spec: JobSpec) -> bool:
+    return (
+        (spec.types is None or machine.type in spec.types)
+        and (spec.zone is None or machine.zone == spec.zone)
+        and (spec.spot or not machine.spot)
+    )
+
+
+def rank(machine: MachineView, spec: JobSpec) -> tuple[float, ...]:
+    """The paper's order of hosts, with scarce GPUs kept out of it first."""
+    return (
+        machine.gpus,
+        spec.image not in machine.images,
+        spec.image not in machine.pulling,
+        machine.stale,
+        machine.free[2] - spec.ram,
+        machine.free[0] - spec.cpus,
+        crc32(f"{spec.id} {machine.name}".encode()),
+    )
+
+
+def latest_start(spec: JobSpec, objectives: list[Objective], now: float, fetch_s: float) -> float:
+    """When the job must start to meet the next aim of its class that can still be met."""
+    best: float | None = None
+    for aim in objectives:
+        if aim.class_name != spec.class_name:
+            continue
+        if aim.kind == "wait" and aim.within_s is not None:
+            at = spec.submitted + aim.within_s - fetch_s
+        elif aim.kind == "finished" and aim.within_s is not None:
+            at = spec.submitted + aim.within_s - spec.estimate_s - fetch_s
+        elif aim.kind == "deadline" and spec.deadline_s is not None:
+            at = spec.submitted + spec.deadline_s * (aim.times or 1.0) - spec.estimate_s - fetch_s
+        else:
+            continue
+        if at >= now and (best is None or at < best):
+            best = at
+    # Jobs that can no longer meet any aim come after the others, oldest first.
+    return best if best is not None else spec.submitted + 1e7
+
+
+def order(job: JobView) -> tuple[float, ...]:
+    return (job.spec.priority, not job.covered, job.latest_start, job.spec.submitted)
+
+
+class Round:
+    def __init__(
+        self,
+        machines: list[MachineView],
+        teams: dict[str, Team],
+        usage: dict[str, list[float]],
+    ) -> None:
+        self.machines = machines
+        self.teams = teams
+        self.usage = {team: list(use) for team, use in usage.items()}
+        self.plan = Plan()
+        self.stopped: set[tuple[str, int]] = set()
+        self.lowest = max((v.priority for m in machines for v in m.victims), default=-1)
+
+    def within_limit(self, spec: JobSpec, wanted: int) -> int:
+        """How many of the tasks the team's limit still allows."""
+        team = self.teams.get(spec.team)
+        if team is None:
+            return 0
+        use = self.usage.setdefault(spec.team, [0.0, 0.0])
+        limits = ((team.cpus_max, use[0], spec.cpus), (team.gpus_max, use[1], spec.gpus))
+        for limit, used, need in limits:
+            if limit and need > 0:
+                wanted = min(wanted, int((limit - used + EPS) / need))
+        return max(0, wanted)
+
+    def start(self, job: JobView, machine: MachineView, count: int) -> None:
+        spec = job.spec
+        self.plan.starts.append(Start(spec.id, machine.name, count))
+        machine.take(spec, count)
+        machine.pulling.add(spec.image)
+        use = self.usage.setdefault(spec.team, [0.0, 0.0])
+        use[0] += spec.cpus * count
+        use[1] += spec.gpus * count
+        job.running_zones[machine.zone] = job.running_zones.get(machine.zone, 0) + count
+        job.todo -= count
+
+    def candidates(self, spec: JobSpec) -> list[MachineView]:
+        found = [m for m in self.machines if allowed(m, spec) and m.fits(spec) > 0]
+        found.sort(key=lambda m: rank(m, spec))
+        return found
+
+    def place(self, job: JobView) -> None:
+        spec = job.spec
+        if spec.gang:
+            if job.lingering:
+                return
+            if self.within_limit(spec, spec.tasks) < spec.tasks:
+                return
+            if not self.place_gang(job):
+                self.make_room(job, spec.tasks)
+                self.plan.short.append((job, spec.tasks))
+            return
+        wanted = self.within_limit(spec, job.todo)
+        left = self.place_tasks(job, wanted)
+        if left > 0:
+            self.make_room(job, left)
+            self.plan.short.append((job, left))
+
+    def place_tasks(self, job: JobView, wanted: int) -> int:
+        """Independent tasks: as many as there is room for. Returns how many lack room."""
+        spec = job.spec
+        cap = (spec.tasks + 1) // 2
+        home = next(iter(job.running_zones), None) if spec.one_zone else None
+        for machine in self.candidates(spec):
+            if wanted <= 0:
+                break
+            if home is not None and machine.zone != home:
+                continue
+            count = min(machine.fits(spec), wanted)
+            if spec.spread:
+                count = min(count, cap - job.running_zones.get(machine.zone, 0))
+            if count > 0:
+                if spec.one_zone:
+                    home = machine.zone
+                self.start(job, machine, count)
+                wanted -= count
+        return wanted
+
+    def zones(self, spec: JobSpec) -> list[str | None]:
+        if not spec.one_zone:
+            return [None]
+        return list(dict.fromkeys(m.zone for m in self.machines))
+
+    def place_gang(self, job: JobView) -> bool:
+        spec = job.spec
+        found = self.candidates(spec)
+        options = []
+        for zone in self.zones(spec):
+            choice = choose(spec, [m for m in found if zone is None or m.zone == zone])
+            if choice is not None:
+                uncached = sum(n for m, n in choice if spec.image not in m.images)
+                options.append((uncached, str(zone), choice))
+        if not options:
+            return False
+        _, _, best = min(options, key=lambda x: x[:2])
+        for machine, count in best:
+            self.start(job, machine, count)
+        return True
+
+    # --- preemption ----------------------------------------------------------
+    def may_stop(self, victim: Victim, job: JobView) -> bool:
+        if victim.key in self.stopped:
+            return False
+        if victim.priority > job.spec.priority:
+            return True
+        return job.covered and not victim.guaranteed and victim.team != job.spec.team
+
+    def make_room(self, job: JobView, wanted: int) -> None:
+        """Claim room that is or becomes free, and stop others where the rules allow it.
+
+        Claimed room is taken out of this round, so that later jobs do not fill it
+        up again piece by piece while a larger one waits for it.
+        """
+        spec = job.spec
+        if not spec.gang and not job.covered and spec.priority >= self.lowest:
+            return  # nobody may be stopped, and independent tasks need no room kept together
+        usable = [m for m in self.machines if allowed(m, spec)]
+        best: list[tuple[MachineView, int, list[Victim]]] | None = None
+        best_cost = 0.0
+        for zone in self.zones(spec):
+            options = []
+            for machine in usable:
+                if zone is not None and machine.zone != zone:
+                    continue
+                count, victims, cost = self.room_with_victims(machine, job, wanted)
+                if count:
+                    options.append((cost / count, machine.name, machine, count, victims))
+            options.sort(key=lambda x: x[:2])
+            chosen: list[tuple[MachineView, int, list[Victim]]] = []
+            left, total = wanted, 0.0
+            for cost, _, machine, count, victims in options:
+                if left <= 0:
+                    break
+                chosen.append((machine, min(count, left), victims))
+                left -= count
+                total += cost
+            if left > 0 and spec.gang:
+                continue
+            if chosen and (best is None or total < best_cost):
+                best, best_cost = chosen, total
+        for machine, count, victims in best or ():
+            for victim in victims:
+                if victim.key not in self.stopped:
+                    self.stopped.add(victim.key)
+                    self.plan.stops.append(victim.key)
+                machine.coming[0] += victim.cpus
+                machine.coming[1] += victim.gpus
+                machine.coming[2] += victim.ram
+            self.claim(machine, spec, count)
+
+    def room_with_victims(
+        self, machine: MachineView, job: JobView, wanted: int
+    ) -> tuple[int, list[Victim], float]:
+        spec = job.spec
+        room = [a + b for a, b in zip(machine.free, machine.coming, strict=True)]
+        count = min(fits_in(room, spec), wanted)
+        victims: list[Victim] = []
+        cost = 0.0
+        if count >= wanted:
+            return count, victims, cost
+        usable = [v for v in machine.victims if self.may_stop(v, job)]
+        usable.sort(key=lambda v: (-v.priority, v.lost * (v.cpus + 8 * v.gpus), v.key))
+        picked: list[Victim] = []
+        for victim in usable:
+            helps = (victim.cpus and spec.cpus) or (victim.gpus and spec.gpus) or victim.ram
+            if not helps:
+                continue
+            room[0] += victim.cpus
+            room[1] += victim.gpus
+            room[2] += victim.ram
+            picked.append(victim)
+            now_fits = min(fits_in(room, spec), wanted)
+            if now_fits > count:
+                count = now_fits
+                victims = list(picked)
+                cost = sum(v.lost + 1.0 for v in victims)
+                if count >= wanted:
+                    break
+        return count, victims, cost
+
+    def claim(self, machine: MachineView, spec: JobSpec, count: int) -> None:
+        for i, need in enumerate((spec.cpus * count, spec.gpus * count, spec.ram * count)):
+            from_coming = min(machine.coming[i], need)
+            machine.coming[i] -= from_coming
+            machine.free[i] -= need - from_coming
+
+
+def choose(spec: JobSpec, machines: list[MachineView]) -> list[tuple[MachineView, int]] | None:
+    """Room for all tasks of a gang, on machines in order of preference; None if too little."""
+    cap = (spec.tasks + 1) // 2
+    per_zone: dict[str, int] = {}
+    left = spec.tasks
+    chosen = []
+    for machine in machines:
+        count = min(machine.fits(spec), left)
+        if spec.spread:
+            count = min(count, cap - per_zone.get(machine.zone, 0))
+        if count > 0:
+            chosen.append((machine, count))
+            per_zone[machine.zone] = per_zone.get(machine.zone, 0) + count
+            left -= count
+        if left == 0:
+            return chosen
+    return None
+
+
+def make_plan(
+    jobs: list[JobView],
+    machines: list[MachineView],
+    teams: dict[str, Team],
+    usage: dict[str, list[float]],
+) -> Plan:
+    current = Round(machines, teams, usage)
+    for job in sorted(jobs, key=order):
+        if job.todo > 0:
+            current.place(job)
+    return current.plan
--- /dev/null
+++ b/peathall/placement/service.py
@@ -0,0 +1,272 @@
+"""Rounds at the leader: gather, decide, store the intent, then let the starts go."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from peathall import constants as c
+from peathall.books import Books
+from peathall.jobs.model import Attempt, AttemptPhase, Job, JobPhase
+from peathall.jobs.ranges import Ranges
+from peathall.placement.planner import (
+    JobView,
+    MachineView,
+    Plan,
+    Victim,
+    latest_start,
+    make_plan,
+)
+from peathall.settings import Params
+from peathall.store.client import Drop, Item, Put
+from peathall.store.writer import Writer
+from peathall.wire.body import json_size
+from peathall.workers.model import Machine, MachinePhase
+from peathall.workers.service import Workers
+
+log = logging.getLogger("peathall.placement")
+
+ROUND = "round/"
+
+
+def split_record(entries: list[list[Any]], limit: int) -> list[list[list[Any]]]:
+    """Cut a round's entries into pieces that fit into one value each."""
+    pieces: list[list[list[Any]]] = [[]]
+    size = 0
+    for entry in entries:
+        need = json_size(entry) + 1
+        if pieces[-1] and size + need > limit:
+            pieces.append([])
+            size = 0
+        pieces[-1].append(entry)
+        size += need
+    return [piece for piece in pieces if piece]
+
+
+class Placement:
+    def __init__(
+        self,
+        books: Books,
+        params: Params,
+        writer: Writer,
+        workers: Workers,
+        wall: Callable[[], float],
+        may_act: Callable[[], bool],
+    ) -> None:
+        self.books = books
+        self.params = params
+        self.writer = writer
+        self.workers = workers
+        self.wall = wall
+        self.may_act = may_act
+        self.teams = {team.name: team for team in params.teams}
+        self.loop = asyncio.get_running_loop()
+        self.wake = asyncio.Event()
+        self.number = 0
+        self.short: list[tuple[JobView, int]] = []
+        self.on_short: Callable[[], None] = lambda: None
+        books.on_round_over = self._round_over
+
+    # --- records -------------------------------------------------------------
+    def load(self, items: list[Item], now: float) -> None:
+        for item in items:
+            self.writer.versions[item.key] = item.version
+            for job_id, number, machine_name, spans in item.value["a"]:
+                job = self.books.jobs.get(job_id)
+                if job is None:
+                    continue  # archived, which is done only after all its attempts were gone
+                machine = self.books.machine(machine_name, "", "", False, MachinePhase.UNHEARD, now)
+                for task in Ranges(spans):
+                    if task in job.attempts:
+                        # An older round still holds it: the later attempt was made
+                        # after the earlier one was surely gone.
+                        if job.attempts[task].number >= number:
+                            continue
+                        self.books.release(job.attempts[task], now)
+                    attempt = self.books.book(job, task, number, machine, item.key)
+                    attempt.enter(AttemptPhase.SENT, now)
+        for item in items:
+            if item.key not in self.books.rounds:
+                self.writer.submit([Drop(item.key)])
+
+    def _round_over(self, key: str) -> None:
+        if key in self.writer.versions:
+            self.writer.submit([Drop(key)])
+
+    # --- rounds --------------------------------------------------------------
+    def nudge(self) -> None:
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Rounds follow one another at a distance that grows with what a round takes."""
+        while True:
+            try:
+                await asyncio.wait_for(self.wake.wait(), c.ROUND_IDLE_S)
+            except TimeoutError:
+                pass
+            await asyncio.sleep(c.ROUND_GAP_S)
+            self.wake.clear()
+            if not self.may_act():
+                continue
+            began = self.loop.time()
+            await self.round(began)
+            await asyncio.sleep(min(c.ROUND_IDLE_S, (self.loop.time() - began) * c.ROUND_LOAD))
+
+    async def round(self, now: float) -> None:
+        plan = self.decide(now)
+        self.short = plan.short
+        self.on_short()
+        for job_id, task in plan.stops:
+            self._preempt(job_id, task, now)
+        if plan.starts:
+            await self._start(plan, now)
+
+    def decide(self, now: float) -> Plan:
+        wall = self.wall()
+        covered = self._covered()
+        jobs = []
+        for job in self.books.jobs.values():
+            if job.phase is JobPhase.ACTIVE and job.todo and now >= job.backoff_until:
+                jobs.append(self._job_view(job, wall, covered))
+        machines = [
+            self._machine_view(m, now, covered)
+            for m in self.books.machines.values()
+            if self._usable(m, now)
+        ]
+        return make_plan(jobs, machines, self.teams, self.books.usage)
+
+    def _usable(self, machine: Machine, now: float) -> bool:
+        silent = self.workers.silence(machine, now)
+        return (
+            machine.phase is MachinePhase.UP
+            and machine.confirmed
+            and machine.cpus > 0
+            and silent < c.SUSPECT_REPORTS * self.params.workers.report_s
+        )
+
+    def _covered(self) -> set[str]:
+        """Jobs that fit into their team's guarantee with the team's earlier unfinished ones."""
+        sums: dict[str, list[float]] = {}
+        covered = set()
+        active = [j for j in self.books.jobs.values() if j.phase is JobPhase.ACTIVE]
+        for job in sorted(active, key=lambda j: j.spec.submitted):
+            team = self.teams.get(job.spec.team)
+            if team is None or not (team.cpus or team.gpus):
+                continue
+            use = sums.setdefault(team.name, [0.0, 0.0])
+            left = job.spec.tasks - len(job.done)
+            use[0] += job.spec.cpus * left
+            use[1] += job.spec.gpus * left
+            asks = (team.gpus and job.spec.gpus) or (team.cpus and job.spec.cpus)
+            if (
+                asks
+                and (not team.cpus or use[0] <= team.cpus)
+                and (not team.gpus or use[1] <= team.gpus)
+            ):
+                covered.add(job.spec.id)
+        return covered
+
+    def _job_view(self, job: Job, wall: float, covered: set[str]) -> JobView:
+        zones: dict[str, int] = {}
+        for attempt in job.attempts.values():
+            zone = self.books.machines[attempt.machine].zone
+            zones[zone] = zones.get(zone, 0) + 1
+        return JobView(
+            job.spec,
+            len(job.todo),
+            job.spec.id in covered,
+            latest_start(job.spec, self.params.objectives, wall, 0.0),
+            zones,
+            lingering=job.spec.gang and bool(job.attempts),
+        )
+
+    def _machine_view(self, machine: Machine, now: float, covered: set[str]) -> MachineView:
+        coming = [0.0, 0.0, 0.0]
+        victims = []
+        for (job_id, task), attempt in machine.attempts.items():
+            spec = attempt.job.spec
+            need = (spec.cpus, spec.gpus, spec.ram)
+            if attempt.stopping or attempt.job.phase is not JobPhase.ACTIVE:
+                coming = [a + b for a, b in zip(coming, need, strict=True)]
+                continue
+            ran = now - attempt.since if attempt.running else 0.0
+            lost = min(ran, spec.save_s) if spec.checkpoint_s else ran
+            victims.append(
+                Victim(
+                    (job_id, task), job_id if spec.gang else None, need, spec.priority, spec.team,
+                    job_id in covered, lost,
+                )  # fmt: skip
+            )
+        report_s = self.params.workers.report_s * 1.25  # reports come up to a quarter late
+        return MachineView(
+            machine.name, machine.type, machine.zone, machine.spot,
+            (machine.cpus, machine.gpus, machine.ram),
+            (machine.free_cpus, machine.free_gpus, machine.free_ram),
+            machine.images, machine.fetching(),
+            int(self.workers.silence(machine, now) / report_s),
+            (coming[0], coming[1], coming[2]), victims,
+        )  # fmt: skip
+
+    def _preempt(self, job_id: str, task: int, now: float) -> None:
+        job = self.books.jobs.get(job_id)
+        if job is None or task not in job.attempts:
+            return
+        grace = job.spec.save_s + c.SAVE_GRACE_S if job.spec.checkpoint_s else 0.0
+        log.info("task %s/%d is stopped to make room", job_id, task)
+        # A gang is stopped as a whole, or the save fails.
+        targets = list(job.attempts.values()) if job.spec.gang else [job.attempts[task]]
+        for attempt in targets:
+            self.workers.stop(attempt, grace, now)
+
+    async def _start(self, plan: Plan, now: float) -> None:
+        """Book the room, store the intent, and only then let the starts go out."""
+        entries: list[list[Any]] = []
+        fresh: list[list[Attempt]] = []
+        numbers: dict[str, int] = {}
+        for start in plan.starts:
+            job = self.books.jobs[start.job]
+            number = numbers.get(start.job) or self.books.new_attempt_number()
+            numbers[start.job] = number
+            tasks = Ranges()
+            for task in job.todo.first(start.count):
+                tasks.add(task)
+            entry = [start.job, number, start.machine, tasks.to_record()]
+            machine = self.books.machines[start.machine]
+            entries.append(entry)
+            fresh.append([self.books.book(job, t, number, machine, "") for t in tasks])
+        limit = int(self.params.state.value_kb * 1024 * c.VALUE_FILL)
+        writes = []
+        at = 0
+        for piece in split_record(entries, limit):
+            self.number += 1
+            key = f"{ROUND}{self.books.term:08d}-{self.number:07d}"
+            attempts = [a for group in fresh[at : at + len(piece)] for a in group]
+            at += len(piece)
+            self.books.rounds[key] = len(attempts)
+            for attempt in attempts:
+                attempt.round = key
+            writes.append((self.writer.submit([Put(key, {"a": piece})]), key, attempts))
+        self.books.rounds.pop("", None)
+        for write, key, attempts in writes:
+            await write
+            self._stored(key, attempts)
+
+    def _stored(self, key: str, attempts: list[Attempt]) -> None:
+        now = self.loop.time()
+        pushed: set[str] = set()
+        for attempt in attempts:
+            if attempt.phase is not AttemptPhase.PLANNED:
+                continue
+            attempt.enter(AttemptPhase.INTENDED, now)
+            if attempt.stopping or attempt.job.phase is not JobPhase.ACTIVE:
+                self.books.release(attempt, now)
+            else:
+                pushed.add(attempt.machine)
+        if key not in self.books.rounds:
+            self._round_over(key)
+        for name in pushed:
+            machine = self.books.machines.get(name)
+            if machine is not None:
+                self.workers.push(machine)
--- /dev/null
+++ b/peathall/settings.py
@@ -0,0 +1,147 @@
+"""The platform's settings file (TOML) and the operators' own (protobuf text format)."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
+
+
+class SettingsError(Exception):
+    """A setting is missing or wrong; the message is one clear line."""
+
+
+class Peer(Struct, frozen=True):
+    name: Name = field(name="member")
+    zone: str = field(name="location")
+    addr: Address = field(name="endpoint")
+
+
+class Services(Struct, frozen=True):
+    cloud: Address
+    state: Address
+
+
+class Team(Struct, frozen=True):
+    name: Name
+    cpus: NotNegative = 0.0
+    cpus_max: NotNegative = 0.0
+    gpus: NotNegative = 0.0
+    gpus_max: NotNegative = 0.0
+
+
+class Objective(Struct, frozen=True):
+    kind: str
+    class_name: str | None = field(name="class", default=None)
+    within_s: float | None = None
+    share: float | None = None
+    times: float | None = None
+
+
+class WorkerSettings(Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    gang_wait_s: Positive
+    gang_peer_s: Positive
+    cancel_s: Positive
+
+
+class StateSettings(Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Annotated[int, Meta(ge=4)]
+
+
+class CloudSettings(Struct, frozen=True):
+    rps: Positive
+    list_lag_s: NotNegative
+
+
+class Limits(Struct, frozen=True):
+    cpu_share: Positive = 1.0
+    ram_mb: Positive = 1024.0
+    fd_limit: Annotated[int, Meta(ge=32)] = 1024
+
+
+class Params(Struct, frozen=True):
+    workers: WorkerSettings
+    state: StateSettings
+    cloud: CloudSettings
+    teams: list[Team]
+    size: Annotated[int, Meta(ge=1)] = 1
+    zones: list[str] = []
+    clock_off_ms: NotNegative = 0.0
+    objectives: list[Objective] = []
+    machine_limits: Limits = Limits()
+
+
+class Settings(Struct, frozen=True):
+    name: Name = field(name="member")
+    zone: str = field(name="location")
+    listen: Address = field(name="api_addr")
+    peer_listen: Address = field(name="back")
+    services: Services
+    params: Params
+    peers: list[Peer] = field(name="known", default=[])
+
+
+class Operator(Struct, frozen=True):
+    """What the operators may set themselves; the defaults serve without a file."""
+
+    idle_hold_s: NotNegative | None = None
+
+
+def split_addr(addr: str) -> tuple[str, int]:
+    host, _, port = addr.rpartition(":")
+    return host, int(port)
+
+
+def parse(text: str) -> Settings:
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        raise SettingsError(f"not TOML: {exc}") from None
+    try:
+        settings = msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as exc:
+        raise SettingsError(str(exc).replace("\n", " ")) from None
+    names = [settings.name, *(peer.name for peer in settings.peers)]
+    if len(set(names)) != len(names):
+        raise SettingsError("member: two controllers have the same name")
+    return settings
+
+
+def load(path: str | os.PathLike[str]) -> Settings:
+    try:
+        with open(path, encoding="utf-8") as handle:
+            return parse(handle.read())
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"cannot read {path}: {exc}") from None
+    except SettingsError as exc:
+        raise SettingsError(f"{path}: {exc}") from None
+
+
+def load_operator(path: str) -> Operator:
+    """Read the operators' file: protobuf text format of google.protobuf.Struct."""
+    # Imported here only: the library costs start-up time and memory that a
+    # controller without such a file does not have to spend.
+    from google.protobuf import json_format, struct_pb2, text_format
+
+    message = struct_pb2.Struct()
+    try:
+        with open(path, encoding="utf-8") as handle:
+            text_format.Parse(handle.read(), message)
+        return msgspec.convert(json_format.MessageToDict(message), Operator)
+    except (OSError, UnicodeDecodeError, text_format.ParseError) as exc:
+        raise SettingsError(f"{path}: {exc}".replace("\n", " ")) from None
+    except msgspec.ValidationError as exc:
+        raise SettingsError(f"{path}: {exc}") from None
--- /dev/null
+++ b/peathall/store/budget.py
@@ -0,0 +1,38 @@
+"""Token buckets for the request and write limits of the outside services."""
+
+from __future__ import annotations
+
+
+class Budget:
+    """`rate` a second with a burst of one second's worth. Time comes in as an argument."""
+
+    def __init__(self, rate: float, burst: float | None = None) -> None:
+        self.rate = rate
+        self.burst = max(1.0, burst if burst is not None else rate)
+        self.level = self.burst
+        self.at = 0.0
+
+    def _refill(self, now: float) -> None:
+        self.level = min(self.burst, self.level + max(0.0, now - self.at) * self.rate)
+        self.at = now
+
+    def set_rate(self, rate: float, now: float) -> None:
+        self._refill(now)
+        self.rate = rate
+        self.burst = max(1.0, rate)
+        self.level = min(self.level, self.burst)
+
+    def wait(self, amount: float, now: float) -> float:
+        """Seconds until `amount` may be spent; 0 spends it now."""
+        self._refill(now)
+        # More than a full burst can never be saved up: it goes out on a full bucket.
+        need = min(amount, self.burst)
+        if self.level >= need - 1e-9:
+            self.level -= amount
+            return 0.0
+        return (need - self.level) / self.rate
+
+    def spend(self, amount: float, now: float) -> None:
+        """Spend without asking: lease renewals go first, others then wait longer."""
+        self._refill(now)
+        self.level -= amount
--- /dev/null
+++ b/peathall/store/client.py
@@ -0,0 +1,195 @@
+"""Client of the state service: the only place that knows its paths and words."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from urllib.parse import quote
+
+from msgspec import Struct
+
+from peathall import constants as c
+from peathall.settings import StateSettings
+from peathall.store.budget import Budget
+from peathall.wire import body
+from peathall.wire.http import HttpClient, NoAnswerError
+
+
+class StoreError(Exception):
+    """The request was not carried out, or its answer was of no use."""
+
+
+class StoreDoubtError(StoreError):
+    """No answer: it may have been carried out, or still be carried out later."""
+
+
+class ConflictError(Exception):
+    """A condition did not hold; `failed` names the keys."""
+
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(f"conditions failed: {failed}")
+        self.failed = failed
+
+
+class LeaseGoneError(Exception):
+    """The lease has ended."""
+
+
+class Item(Struct):
+    key: str
+    value: Any
+    version: int
+
+
+class Change(Struct):
+    key: str
+    version: int
+    value: Any = None
+    deleted: bool = False
+
+
+class Put(Struct):
+    key: str
+    value: Any
+    lease: int | None = None
+
+    def to_wire(self) -> dict[str, Any]:
+        wire = {"write": self.key, "data": self.value}
+        if self.lease is not None:
+            wire["tenancy"] = self.lease
+        return wire
+
+
+class Drop(Struct):
+    key: str
+
+    def to_wire(self) -> dict[str, Any]:
+        return {"drop": self.key}
+
+
+class StateClient:
+    def __init__(self, addr: str, limits: StateSettings) -> None:
+        self.limits = limits
+        self.http = HttpClient(addr)
+        self.watch_http = HttpClient(addr)
+        self.loop = asyncio.get_running_loop()
+        self.requests = Budget(limits.rps * c.FOLLOWER_RPS_SHARE)
+        self.writes = Budget(limits.write_rps * c.FOLLOWER_WRITE_SHARE)
+        self.last_good = -1e9
+
+    def set_leading(self, leading: bool) -> None:
+        rps = c.LEADER_RPS_SHARE if leading else c.FOLLOWER_RPS_SHARE
+        wps = c.LEADER_WRITE_SHARE if leading else c.FOLLOWER_WRITE_SHARE
+        now = self.loop.time()
+        self.requests.set_rate(self.limits.rps * rps, now)
+        self.writes.set_rate(self.limits.write_rps * wps, now)
+
+    async def _budget(self, writes: int) -> None:
+        while (pause := self.requests.wait(1, self.loop.time())) > 0:
+            await asyncio.sleep(pause)
+        while writes and (pause := self.writes.wait(writes, self.loop.time())) > 0:
+            await asyncio.sleep(pause)
+
+    async def _ask(
+        self,
+        method: str,
+        path: str,
+        value: Any = None,
+        timeout: float = c.STORE_TIMEOUT_S,
+        http: HttpClient | None = None,
+    ) -> tuple[int, Any]:
+        data = b"" if value is None else body.cbor_bytes(value)
+        try:
+            status, raw = await (http or self.http).request(method, path, data, timeout)
+        except NoAnswerError as exc:
+            raise (StoreDoubtError if exc.sent else StoreError)(str(exc)) from None
+        if status in (429, 503):
+            raise StoreError(f"state service: {status}")
+        self.last_good = self.loop.time()
+        try:
+            return status, body.cbor_any(raw)
+        except Exception as exc:
+            raise StoreDoubtError(f"garbled answer: {exc}") from None
+
+    async def get(self, key: str) -> Item | None:
+        await self._budget(0)
+        status, raw = await self._ask("GET", f"/store/{quote(key)}")
+        if status == 200:
+            return Item(raw["k"], raw["data"], raw["stamp"])
+        if status == 404:
+            return None
+        raise StoreError(f"get {key}: {status}")
+
+    async def list(self, prefix: str) -> tuple[list[Item], int]:
+        """All keys with the prefix, and the revision from which to watch on."""
+        items: list[Item] = []
+        after, revision = "", None
+        while True:
+            await self._budget(0)
+            path = f"/store?prefix={quote(prefix)}&most=1000"
+            if after:
+                path += f"&after={quote(after)}"
+            status, raw = await self._ask("GET", path)
+            if status != 200:
+                raise StoreError(f"list {prefix}: {status}")
+            if revision is None:
+                # The first page's revision: what changes during the paging is watched.
+                revision = raw["epoch"]
+            items += [Item(x["k"], x["data"], x["stamp"]) for x in raw["items"]]
+            if not raw.get("more") or not raw["items"]:
+                return items, revision
+            after = raw["items"][-1]["k"]
+
+    async def commit(self, conditions: dict[str, int], ops: list[Put | Drop]) -> int:
+        await self._budget(len(ops))
+        wire = {
+            "when": [{"k": key, "stamp": version} for key, version in conditions.items()],
+            "apply": [op.to_wire() for op in ops],
+        }
+        status, raw = await self._ask("POST", "/commit", wire)
+        if status == 200:
+            return int(raw["epoch"])
+        if status == 409:
+            raise ConflictError(list(raw["failed"]))
+        if status == 400 and "lease" in str((raw or {}).get("error", "")):
+            raise LeaseGoneError
+        raise StoreError(f"commit: {status} {raw}")
+
+    async def lease(self, ttl_s: float) -> int:
+        self.requests.spend(1, self.loop.time())
+        status, raw = await self._ask("POST", "/leases", {"ttl_ms": int(ttl_s * 1000)})
+        if status != 200:
+            raise StoreError(f"lease: {status}")
+        return int(raw["tenancy"])
+
+    async def renew(self, lease: int, timeout: float) -> None:
+        self.requests.spend(1, self.loop.time())
+        status, _ = await self._ask("POST", f"/leases/{lease}/renew", {}, timeout)
+        if status == 404:
+            raise LeaseGoneError
+        if status != 200:
+            raise StoreError(f"renew: {status}")
+
+    async def end_lease(self, lease: int) -> None:
+        self.requests.spend(1, self.loop.time())
+        await self._ask("DELETE", f"/leases/{lease}")
+
+    async def watch(self, prefix: str, after: int) -> tuple[int, list[Change]] | None:
+        """Changes after a revision; None if the service no longer knows that far back."""
+        await self._budget(0)
+        hold = c.WATCH_HOLD_S
+        path = f"/watch?prefix={quote(prefix)}&after={after}&hold_ms={int(hold * 1000)}"
+        status, raw = await self._ask(
+            "GET", path, timeout=hold + c.STORE_TIMEOUT_S, http=self.watch_http
+        )
+        if status == 410:
+            return None
+        if status != 200:
+            raise StoreError(f"watch: {status}")
+        changes = [
+            Change(x["write"], x["stamp"], x.get("data"))
+            if "write" in x
+            else Change(x["drop"], x["stamp"], deleted=True)
+            for x in raw["news"]
+        ]
+        return int(raw["epoch"]), changes
--- /dev/null
+++ b/peathall/wire/body.py
@@ -0,0 +1,45 @@
+"""Bodies: CBOR towards the outside, orjson between our own controllers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import cbor2
+import orjson
+
+from peathall import constants as c
+from peathall.wire.http import Response
+
+
+class MalformedError(Exception):
+    """A body is not what the protocol allows."""
+
+
+def cbor_map(body: bytes) -> dict[str, Any]:
+    if not body or len(body) > c.MAX_BODY:
+        raise MalformedError("empty or too large")
+    try:
+        value = cbor2.loads(body)
+    # A decoder of foreign bytes fails in many ways: recursion, memory, value.
+    except Exception as exc:
+        raise MalformedError(f"not CBOR: {type(exc).__name__}") from None
+    if not isinstance(value, dict) or not all(isinstance(key, str) for key in value):
+        raise MalformedError("not a map with text keys")
+    return value
+
+
+def cbor_any(body: bytes) -> Any:
+    return cbor2.loads(body) if body else None
+
+
+def cbor_bytes(value: Any) -> bytes:
+    return cbor2.dumps(value)
+
+
+def cbor_response(status: int, value: Any, retry_after: int | None = None) -> Response:
+    return Response(status, cbor2.dumps(value), retry_after=retry_after)
+
+
+def json_size(value: Any) -> int:
+    """Size in the form in which the protocol counts its limits."""
+    return len(orjson.dumps(value))
--- /dev/null
+++ b/peathall/wire/http.py
@@ -0,0 +1,350 @@
+"""HTTP/1.1 on asyncio protocols and httptools: one server and one client class."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from enum import Enum, auto
+from urllib.parse import unquote
+
+import httptools
+
+from peathall import constants as c
+
+log = logging.getLogger("peathall.http")
+
+REASONS = {
+    200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found",
+    405: "Method Not Allowed", 409: "Conflict", 421: "Misdirected Request",
+    422: "Unprocessable Content", 429: "Too Many Requests", 500: "Internal Server Error",
+    503: "Service Unavailable", 504: "Gateway Timeout",
+}  # fmt: skip
+
+
+class Request:
+    __slots__ = ("body", "method", "path", "query")
+
+    def __init__(self, method: str, path: str, query: str, body: bytes) -> None:
+        self.method = method
+        self.path = path
+        self.query = query
+        self.body = body
+
+
+class Response:
+    __slots__ = ("body", "close", "content_type", "retry_after", "status")
+
+    def __init__(
+        self,
+        status: int,
+        body: bytes = b"",
+        content_type: str = "application/cbor",
+        retry_after: int | None = None,
+        close: bool = False,
+    ) -> None:
+        self.status = status
+        self.body = body
+        self.content_type = content_type
+        self.retry_after = retry_after
+        self.close = close
+
+    def encode(self) -> bytes:
+        head = (
+            f"HTTP/1.1 {self.status} {REASONS.get(self.status, 'Status')}\r\n"
+            f"Content-Type: {self.content_type}\r\nContent-Length: {len(self.body)}\r\n"
+        )
+        if self.retry_after is not None:
+            head += f"Retry-After: {self.retry_after}\r\n"
+        if self.close:
+            head += "Connection: close\r\n"
+        return head.encode() + b"\r\n" + self.body
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class ConnectionPhase(Enum):
+    IDLE = auto()  # between requests
+    READING = auto()  # a request is arriving
+    SERVING = auto()  # the handler is at work
+    CLOSED = auto()
+
+
+class ServerConnection(asyncio.Protocol):
+    """One caller. Garbage ends this connection and touches no other."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self.server = server
+        self.phase = ConnectionPhase.IDLE
+        self.since = 0.0
+        self.transport: asyncio.Transport | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.url = b""
+        self.body: list[bytes] = []
+        self.size = 0
+        self.backlog: list[bytes] = []
+
+    def _enter(self, phase: ConnectionPhase) -> None:
+        if self.phase is not ConnectionPhase.CLOSED:
+            self.phase = phase
+            self.since = self.server.loop.time()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self._enter(ConnectionPhase.IDLE)
+        self.server.admit(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._enter(ConnectionPhase.CLOSED)
+        self.server.connections.discard(self)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        if self.phase is ConnectionPhase.CLOSED:
+            return
+        if self.phase is ConnectionPhase.SERVING:
+            # Requests are not pipelined; a caller that does it anyway is served
+            # in order, within the size of one request.
+            self.backlog.append(data)
+            if sum(map(len, self.backlog)) > c.MAX_BODY:
+                self.close()
+            return
+        if self.phase is ConnectionPhase.IDLE:
+            self._enter(ConnectionPhase.READING)
+        self.size += len(data)
+        if self.size > c.MAX_BODY + 16 * 1024:
+            self._refuse(400)
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400)
+        except httptools.HttpParserError:
+            self._refuse(400)
+
+    def _refuse(self, status: int) -> None:
+        if self.transport is not None and self.phase is not ConnectionPhase.CLOSED:
+            self.transport.write(Response(status, close=True).encode())
+            self.transport.close()
+        self._enter(ConnectionPhase.CLOSED)
+
+    # httptools callbacks
+    def on_message_begin(self) -> None:
+        self.url = b""
+        self.body = []
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_body(self, body: bytes) -> None:
+        self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self.phase is not ConnectionPhase.READING:
+            return
+        body = b"".join(self.body)
+        path, _, query = self.url.decode("latin-1").partition("?")
+        request = Request(self.parser.get_method().decode("latin-1"), unquote(path), query, body)
+        keep = self.parser.should_keep_alive()
+        self._enter(ConnectionPhase.SERVING)
+        self.task = self.server.loop.create_task(self._serve(request, keep))
+
+    async def _serve(self, request: Request, keep: bool) -> None:
+        if len(request.body) > c.MAX_BODY:
+            response = Response(400, close=True)
+        else:
+            try:
+                response = await self.server.handler(request)
+            except Exception:
+                log.exception("request %s %s failed", request.method, request.path)
+                response = Response(500)
+        if not keep:
+            response.close = True
+        if self.phase is ConnectionPhase.CLOSED or self.transport is None:
+            return
+        self.transport.write(response.encode())
+        if response.close:
+            self.transport.close()
+            self._enter(ConnectionPhase.CLOSED)
+            return
+        self.size = 0
+        self._enter(ConnectionPhase.IDLE)
+        waiting, self.backlog = self.backlog, []
+        for data in waiting:
+            self.data_received(data)
+
+
+class HttpServer:
+    """Listens on one address; keeps idle and slow callers from using up the sockets."""
+
+    def __init__(self, handler: Handler, max_connections: int) -> None:
+        self.handler = handler
+        self.max_connections = max_connections
+        self.connections: set[ServerConnection] = set()
+        self.loop = asyncio.get_running_loop()
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        self._server = await self.loop.create_server(
+            lambda: ServerConnection(self), host, port, backlog=256, reuse_address=True
+        )
+        self._sweep()
+
+    @property
+    def port(self) -> int:
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def admit(self, connection: ServerConnection) -> None:
+        self.connections.add(connection)
+        if len(self.connections) > self.max_connections:
+            idle = [x for x in self.connections if x.phase is not ConnectionPhase.SERVING]
+            oldest = min(idle or [connection], key=lambda x: x.since)
+            self.connections.discard(oldest)
+            oldest.close()
+
+    def _sweep(self) -> None:
+        now = self.loop.time()
+        for connection in list(self.connections):
+            age = now - connection.since
+            if (connection.phase is ConnectionPhase.IDLE and age > c.IDLE_CONNECTION_S) or (
+                connection.phase is ConnectionPhase.READING and age > c.SLOW_REQUEST_S
+            ):
+                connection.close()
+        self._sweeper = self.loop.call_later(c.SWEEP_S, self._sweep)
+
+    def close(self) -> None:
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self.connections):
+            connection.close()
+
+
+class NoAnswerError(Exception):
+    """No usable answer. `sent` tells whether the request may have been carried out."""
+
+    def __init__(self, why: str, sent: bool) -> None:
+        super().__init__(why)
+        self.sent = sent
+
+
+class ClientConnection(asyncio.Protocol):
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.parser: httptools.HttpResponseParser | None = None
+        self.answer: asyncio.Future[tuple[int, bytes]] | None = None
+        self.body: list[bytes] = []
+        self.closed = False
+        self.reusable = True
+        self.idle_since = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closed = True
+        self._fail("connection lost")
+
+    def _fail(self, why: str) -> None:
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_exception(NoAnswerError(why, sent=True))
+
+    def data_received(self, data: bytes) -> None:
+        if self.parser is None:
+            self.abort()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._fail("garbled answer")
+            self.abort()
+
+    def on_body(self, body: bytes) -> None:
+        self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        assert self.parser is not None
+        self.reusable = self.parser.should_keep_alive()
+        if self.answer is not None and not self.answer.done():
+            self.answer.set_result((self.parser.get_status_code(), b"".join(self.body)))
+
+    def send(self, data: bytes) -> asyncio.Future[tuple[int, bytes]]:
+        assert self.transport is not None
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = []
+        self.answer = asyncio.get_running_loop().create_future()
+        self.transport.write(data)
+        return self.answer
+
+    def abort(self) -> None:
+        self.closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class HttpClient:
+    """Requests to one address over kept connections, one request at a time on each."""
+
+    def __init__(self, addr: str, content_type: str = "application/cbor", keep: int = 4) -> None:
+        host, _, port = addr.rpartition(":")
+        self.addr = addr
+        self.host = host
+        self.port = int(port)
+        self.content_type = content_type
+        self.keep = keep
+        self.idle: list[ClientConnection] = []
+
+    async def _connect(self, timeout: float) -> ClientConnection:
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        while self.idle:
+            connection = self.idle.pop()
+            if not connection.closed and now - connection.idle_since < c.POOL_IDLE_S:
+                return connection
+            connection.abort()
+        try:
+            _, made = await asyncio.wait_for(
+                loop.create_connection(ClientConnection, self.host, self.port), timeout
+            )
+        except (OSError, TimeoutError) as exc:
+            why = f"cannot connect to {self.addr}: {exc or 'timeout'}"
+            raise NoAnswerError(why, sent=False) from None
+        return made
+
+    async def request(
+        self, method: str, path: str, body: bytes = b"", timeout: float = 5.0
+    ) -> tuple[int, bytes]:
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {self.addr}\r\n"
+            f"Content-Type: {self.content_type}\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        connection = await self._connect(min(c.CONNECT_S, timeout))
+        try:
+            answer = await asyncio.wait_for(connection.send(head.encode() + body), timeout)
+        except TimeoutError:
+            connection.abort()
+            raise NoAnswerError(f"no answer from {self.addr}", sent=True) from None
+        except BaseException:
+            connection.abort()
+            raise
+        if connection.reusable and not connection.closed and len(self.idle) < self.keep:
+            connection.idle_since = asyncio.get_running_loop().time()
+            self.idle.append(connection)
+        else:
+            connection.abort()
+        return answer
+
+    def close(self) -> None:
+        for connection in self.idle:
+            connection.abort()
+        self.idle.clear()
--- /dev/null
+++ b/peathall/workers/model.py
@@ -0,0 +1,101 @@
+"""Machines as the leader knows them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from enum import Enum, auto
+
+from peathall.jobs.model import Attempt, AttemptPhase
+from peathall.wire.names import JobSpec, MachineType
+
+
+class MachinePhase(Enum):
+    BOOTING = auto()  # rented or listed, its worker has not reported yet
+    UNHEARD = auto()  # known from an earlier term's records, not heard in this one
+    UP = auto()  # its worker reports to us
+    DRAINING = auto()  # takes no new work: sick, to be taken back, or to be returned
+    DELETING = auto()  # its deletion was asked for; it may still run tasks
+    GONE = auto()  # deleted, or failed and listed as such
+
+
+class Machine:
+    __slots__ = (
+        "addr", "attempts", "born", "confirmed", "cpus", "failed_jobs", "free_cpus", "free_gpus",
+        "free_ram", "gpus", "idle_since", "images", "last_answer", "last_heard", "listed_at",
+        "name", "phase", "ram", "seq", "session", "spot", "taken_at", "type", "why_draining",
+        "zone",
+    )  # fmt: skip
+
+    def __init__(self, name: str, type_: str, zone: str, spot: bool, phase: MachinePhase) -> None:
+        self.name = name
+        self.type = type_
+        self.zone = zone
+        self.spot = spot
+        self.phase = phase
+        self.addr = ""
+        self.cpus = self.gpus = self.ram = 0.0
+        self.free_cpus = self.free_gpus = self.free_ram = 0.0
+        self.session = 0
+        self.seq = -1
+        self.confirmed = False  # has reported under this term's mandate
+        self.last_answer = 0.0  # steady time of our last answer, which renewed its lease
+        self.last_heard = 0.0
+        self.born = 0.0  # steady time of renting, or of first hearing of it
+        self.listed_at = 0.0  # steady time at which the cloud last listed it
+        self.taken_at: float | None = None  # when the cloud takes it back
+        self.idle_since = 0.0
+        self.why_draining = ""
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.images: OrderedDict[str, float] = OrderedDict()  # cached, as far as we can tell
+        self.failed_jobs: set[str] = set()  # jobs that failed here since the last success
+
+    def enter(self, phase: MachinePhase) -> bool:
+        """One way only: nothing leads back from GONE, nor from DELETING to use."""
+        if self.phase is MachinePhase.GONE or phase is self.phase:
+            return False
+        if self.phase is MachinePhase.DELETING and phase is not MachinePhase.GONE:
+            return False
+        if self.phase is MachinePhase.DRAINING and phase is MachinePhase.UP:
+            return False
+        self.phase = phase
+        return True
+
+    def set_size(self, size: MachineType) -> None:
+        dc, dg, dr = size.cpus - self.cpus, size.gpus - self.gpus, size.ram - self.ram
+        self.cpus, self.gpus, self.ram = size.cpus, size.gpus, size.ram
+        self.free_cpus += dc
+        self.free_gpus += dg
+        self.free_ram += dr
+
+    def take(self, attempt: Attempt) -> None:
+        spec = attempt.job.spec
+        self.attempts[(spec.id, attempt.task)] = attempt
+        self.free_cpus -= spec.cpus
+        self.free_gpus -= spec.gpus
+        self.free_ram -= spec.ram
+
+    def give_back(self, attempt: Attempt, now: float) -> None:
+        spec = attempt.job.spec
+        del self.attempts[(spec.id, attempt.task)]
+        self.free_cpus += spec.cpus
+        self.free_gpus += spec.gpus
+        self.free_ram += spec.ram
+        if not self.attempts:
+            self.idle_since = now
+            # Floating point dust must not keep a whole machine from a task.
+            self.free_cpus, self.free_gpus, self.free_ram = self.cpus, self.gpus, self.ram
+
+    def saw_image(self, spec: JobSpec, cache_gb: float) -> None:
+        """Most recently used images stay cached (protocol)."""
+        self.images[spec.image] = spec.image_gb
+        self.images.move_to_end(spec.image)
+        while len(self.images) > 1 and sum(self.images.values()) > cache_gb:
+            self.images.popitem(last=False)
+
+    def fetching(self) -> set[str]:
+        early = (AttemptPhase.PLANNED, AttemptPhase.INTENDED, AttemptPhase.SENT)
+        return {
+            a.job.spec.image
+            for a in self.attempts.values()
+            if a.phase is AttemptPhase.FETCHING or a.phase in early
+        }
--- /dev/null
+++ b/peathall/workers/service.py
@@ -0,0 +1,363 @@
+"""Check-ins, leases and orders: the only part that talks to workers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from peathall import constants as c
+from peathall.books import Books
+from peathall.jobs.model import Attempt, AttemptPhase, Job, JobPhase
+from peathall.leadership.lease import token
+from peathall.settings import WorkerSettings
+from peathall.wire import body, names
+from peathall.wire.http import HttpClient, NoAnswerError
+from peathall.wire.names import Report, TaskReport, TaskState, Why
+from peathall.workers.model import Machine, MachinePhase
+
+log = logging.getLogger("peathall.workers")
+
+PHASE_OF = {
+    TaskState.FETCHING: AttemptPhase.FETCHING,
+    TaskState.WAITING: AttemptPhase.WAITING,
+    TaskState.RUNNING: AttemptPhase.RUNNING,
+    TaskState.SAVING: AttemptPhase.SAVING,
+}
+
+
+class Exits:
+    """Exited attempts still in a machine's reports, kept until they may be forgotten."""
+
+    __slots__ = ("done", "direct_token", "job", "number", "task")
+
+    def __init__(self, job: str, task: int, number: int, done: bool, direct_token: int) -> None:
+        self.job = job
+        self.task = task
+        self.number = number
+        self.done = done
+        self.direct_token = direct_token
+
+
+class Workers:
+    def __init__(
+        self,
+        books: Books,
+        settings: WorkerSettings,
+        now: float,
+        may_act: Callable[[], bool],
+        on_done: Callable[[Job], None],
+        on_change: Callable[[], None],
+    ) -> None:
+        self.books = books
+        self.settings = settings
+        self.may_act = may_act
+        self.on_done = on_done
+        self.on_change = on_change
+        self.loop = asyncio.get_running_loop()
+        self.took_over = now
+        self.counter = 0
+        # The mandate under which a start was sent directly; such a start may be
+        # executed late until the worker has seen a higher one.
+        self.direct: dict[Attempt, int] = {}
+        self.direct_used = False
+        self.exits: dict[str, list[Exits]] = {}
+        self.strays: dict[str, list[tuple[str, int, int]]] = {}  # tasks that nobody asked for
+        self.couriers: dict[str, asyncio.Task[None]] = {}
+        self.clients: dict[str, HttpClient] = {}
+        self.last_checkin = now
+
+    # --- mandate and lease ---------------------------------------------------
+    @property
+    def base(self) -> int:
+        return token(self.books.term, 0)
+
+    @property
+    def token(self) -> int:
+        return token(self.books.term, self.counter)
+
+    def lapse_s(self) -> float:
+        """How long after our last answer a silent worker surely has no tasks any more."""
+        return self.settings.lease_s * (1 + 2 * c.DRIFT) + c.LAPSE_MARGIN_S
+
+    def silence(self, machine: Machine, now: float) -> float:
+        return now - machine.last_heard
+
+    # --- check-ins -----------------------------------------------------------
+    def checkin(self, report: Report, now: float) -> tuple[int, dict[str, Any] | None]:
+        self.last_checkin = now
+        if report.machine in self.books.deleted:
+            # A late copy from a machine that no longer exists.
+            return 503, None
+        machine = self.books.machine(
+            report.machine, report.type, report.zone, report.spot, MachinePhase.UP, now
+        )
+        if report.session < machine.session:
+            return 503, None
+        fresh = (report.session, report.seq) > (machine.session, machine.seq)
+        if fresh:
+            self._apply(machine, report, now, conclusive=True)
+        # A check-in overtaken by a direct answer is still answered, but tells nothing.
+        machine.last_answer = now
+        if fresh and not machine.confirmed and report.token >= self.base:
+            machine.confirmed = True
+            log.info("machine %s confirmed, %d tasks", machine.name, len(machine.attempts))
+            self.on_change()
+        return 200, names.checkin_answer(self.token, self._orders(machine, now, direct=False))
+
+    def _apply(self, machine: Machine, report: Report, now: float, conclusive: bool) -> None:
+        if machine.phase in (MachinePhase.BOOTING, MachinePhase.UNHEARD):
+            log.info("machine %s (%s, %s) is up", machine.name, machine.type, machine.zone)
+            machine.enter(MachinePhase.UP)
+            machine.idle_since = now
+            self.on_change()
+        if report.addr:
+            machine.addr = report.addr
+        if report.session > machine.session:
+            # The worker's lease ended: it killed all its tasks and forgot them.
+            if machine.session and machine.attempts:
+                log.info("machine %s lost its lease", machine.name)
+                self._lost(self.books.release_all(machine, now), now)
+            self.exits.pop(machine.name, None)
+        machine.session, machine.seq = report.session, report.seq
+        machine.last_heard = now
+        if report.notice_s is not None and machine.taken_at is None:
+            machine.taken_at = now + report.notice_s
+            machine.why_draining = "spot notice"
+            machine.enter(MachinePhase.DRAINING)
+            log.info("machine %s will be taken in %.0f s", machine.name, report.notice_s)
+            self.on_change()
+        present: set[tuple[str, int, int]] = set()
+        exits: list[Exits] = []
+        strays: list[tuple[str, int, int]] = []
+        for item in report.tasks:
+            present.add((item.job, item.task, item.attempt))
+            attempt = machine.attempts.get((item.job, item.task))
+            if attempt is not None and attempt.number != item.attempt:
+                attempt = None
+            if item.state is TaskState.EXITED:
+                exits.append(self._exited(machine, item, attempt, now))
+            elif attempt is not None:
+                self._seen(machine, attempt, item, now)
+            else:
+                strays.append((item.job, item.task, item.attempt))
+        self.exits[machine.name] = exits
+        if strays:
+            log.error("machine %s runs tasks that are not in the books: %s", machine.name, strays)
+        self.strays[machine.name] = strays
+        if conclusive and report.token >= self.base:
+            for attempt in list(machine.attempts.values()):
+                if (attempt.job.spec.id, attempt.task, attempt.number) not in present:
+                    self._absent(machine, attempt, report.token, now)
+
+    def _seen(self, machine: Machine, attempt: Attempt, item: TaskReport, now: float) -> None:
+        if attempt.phase in (AttemptPhase.PLANNED, AttemptPhase.GONE):
+            return
+        before = attempt.phase
+        attempt.enter(PHASE_OF[item.state], now)
+        if item.state is not TaskState.FETCHING and before is not attempt.phase:
+            size = self.books.types.get(machine.type)
+            machine.saw_image(attempt.job.spec, size.cache_gb if size else 0.0)
+
+    def _exited(
+        self, machine: Machine, item: TaskReport, attempt: Attempt | None, now: float
+    ) -> Exits:
+        job = self.books.jobs.get(item.job)
+        done = item.why is Why.DONE
+        # Late copies of an earlier term's starts are fenced by this term's base already.
+        direct_token = 0
+        if attempt is not None:
+            direct_token = self.direct.pop(attempt, 0)
+            if attempt.phase in (AttemptPhase.FETCHING, AttemptPhase.SENT) and done:
+                machine.saw_image(attempt.job.spec, 1e9)
+        elif item.attempt >= self.base:
+            direct_token = self.token
+            for known in self.exits.get(machine.name, ()):
+                if (known.job, known.task, known.number) == (item.job, item.task, item.attempt):
+                    direct_token = known.direct_token
+        if job is not None and done and job.phase is JobPhase.ACTIVE:
+            self._done(job, item.task, machine)
+        if attempt is not None and attempt.phase is not AttemptPhase.GONE:
+            self._ended(machine, attempt, item, now)
+        return Exits(item.job, item.task, item.attempt, done, direct_token)
+
+    def _done(self, job: Job, task: int, machine: Machine) -> None:
+        machine.failed_jobs.clear()
+        job.failures = 0
+        if job.spec.gang:
+            # The tasks of a gang complete together: when one is done, all are.
+            if len(job.done) < job.spec.tasks:
+                job.mark_all_done()
+                self.on_done(job)
+        elif job.mark_done(task):
+            self.on_done(job)
+
+    def _ended(self, machine: Machine, attempt: Attempt, item: TaskReport, now: float) -> None:
+        job = attempt.job
+        number = attempt.number
+        self.books.release(attempt, now)
+        if item.why is not Why.DONE:
+            log.info("task %s/%d ended on %s: %s", job.spec.id, attempt.task, machine.name,
+                     item.why.value if item.why else "?")  # fmt: skip
+        if item.why is Why.ERROR:
+            self._failed(machine, job, now)
+        elif item.why in (Why.NO_ROOM, Why.BUSY, Why.UNKNOWN):
+            # Our books and the worker's differ: wait a little, its next report tells.
+            job.backoff_until = max(job.backoff_until, now + c.ERROR_BACKOFF_S)
+        if job.spec.gang and item.why is not Why.DONE:
+            self.break_gang(job, number, now)
+
+    def _failed(self, machine: Machine, job: Job, now: float) -> None:
+        machine.failed_jobs.add(job.spec.id)
+        job.failures += 1
+        pause = min(c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2 ** min(job.failures - 1, 10))
+        job.backoff_until = now + pause
+        if len(machine.failed_jobs) >= c.SICK_JOBS:
+            self.drain(machine, "it fails every task")
+
+    def drain(self, machine: Machine, why: str) -> None:
+        if machine.enter(MachinePhase.DRAINING):
+            machine.why_draining = why
+            log.info("machine %s is emptied: %s", machine.name, why)
+            self.on_change()
+
+    def _absent(self, machine: Machine, attempt: Attempt, seen_token: int, now: float) -> None:
+        """A current check-in does not show this attempt."""
+        if attempt.phase in (AttemptPhase.PLANNED, AttemptPhase.INTENDED):
+            return  # never sent
+        # A start sent directly may still arrive until a higher mandate was seen.
+        if self.direct.get(attempt, 0) >= seen_token:
+            return
+        if attempt.phase is AttemptPhase.SENT and not attempt.stopping and self._own(attempt):
+            return  # the answer with the start was lost: the next one carries it again
+        self.direct.pop(attempt, None)
+        self.books.release(attempt, now)
+        self._lost([attempt], now)
+
+    def _own(self, attempt: Attempt) -> bool:
+        """Started in this term, not inherited from records."""
+        return attempt.number >= token(self.books.term, 0)
+
+    def _lost(self, attempts: list[Attempt], now: float) -> None:
+        for attempt in attempts:
+            self.direct.pop(attempt, None)
+            if attempt.job.spec.gang:
+                self.break_gang(attempt.job, attempt.number, now)
+        self.on_change()
+
+    def break_gang(self, job: Job, number: int, now: float) -> None:
+        """One task of a gang is gone: its mates cannot go on, so nothing is worth saving."""
+        if len(job.done) >= job.spec.tasks:
+            return
+        mates = [a for a in job.attempts.values() if a.number == number]
+        for mate in mates:
+            self.stop(mate, 0.0, now)
+
+    # --- orders --------------------------------------------------------------
+    def stop(self, attempt: Attempt, grace: float, now: float) -> None:
+        """Ask for the end of an attempt, at once and with every answer until it is gone."""
+        if attempt.stopping and grace >= attempt.grace:
+            return
+        attempt.stopping = True
+        attempt.grace = grace
+        if attempt.phase is AttemptPhase.INTENDED:
+            # Never sent, so it exists nowhere.
+            self.books.release(attempt, now)
+            return
+        if attempt.phase is not AttemptPhase.PLANNED:
+            self.push(self.books.machines[attempt.machine])
+
+    def _orders(self, machine: Machine, now: float, direct: bool) -> list[dict[str, Any]]:
+        orders: list[dict[str, Any]] = []
+        usable = machine.confirmed and machine.phase in (MachinePhase.UP, MachinePhase.DRAINING)
+        for (job_id, task), attempt in machine.attempts.items():
+            if attempt.phase in (AttemptPhase.PLANNED, AttemptPhase.GONE):
+                continue
+            if attempt.stopping:
+                orders.append(names.stop_order(job_id, task, attempt.number, attempt.grace))
+            elif attempt.phase in (AttemptPhase.INTENDED, AttemptPhase.SENT) and (
+                usable and attempt.job.phase is JobPhase.ACTIVE and self._own(attempt)
+            ):
+                orders.append(names.start_order(job_id, task, attempt.number))
+                attempt.enter(AttemptPhase.SENT, now)
+                if direct:
+                    self.direct[attempt] = self.token
+                    self.direct_used = True
+        if not direct:
+            for known in self.exits.get(machine.name, ()):
+                job = self.books.jobs.get(known.job)
+                stored = not known.done or job is None or job.phase is not JobPhase.ACTIVE
+                if not stored and job is not None:
+                    stored = known.task in job.stored
+                if not stored:
+                    continue
+                if known.direct_token < self.token:
+                    orders.append(names.forget_order(known.job, known.task, known.number))
+                else:
+                    self.direct_used = True  # the next tick raises the mandate
+            orders += [names.stop_order(*stray, 0.0) for stray in self.strays.get(machine.name, ())]
+        return orders
+
+    def push(self, machine: Machine) -> None:
+        """Send what is due straight to the worker, one request at a time for each machine."""
+        if machine.addr and machine.name not in self.couriers and self.may_act():
+            self.couriers[machine.name] = self.loop.create_task(self._deliver(machine))
+
+    async def _deliver(self, machine: Machine) -> None:
+        try:
+            await asyncio.sleep(0)  # whatever is decided in this turn goes out together
+            now = self.loop.time()
+            orders = self._orders(machine, now, direct=True)
+            if not orders or not self.may_act():
+                return
+            message = names.direct_orders(self.token, machine.session, orders)
+            client = self.clients.get(machine.addr)
+            if client is None:
+                client = self.clients[machine.addr] = HttpClient(machine.addr, keep=1)
+            status, raw = await client.request(
+                "POST", "/commands", body.cbor_bytes(message), c.DIRECT_TIMEOUT_S
+            )
+            if status == 200 and self.may_act():
+                report = names.report_from_wire(body.cbor_map(raw))
+                if (report.session, report.seq) > (machine.session, machine.seq):
+                    self._apply(machine, report, self.loop.time(), conclusive=False)
+            elif status != 200:
+                log.info("direct orders to %s refused: %d", machine.name, status)
+        except (NoAnswerError, body.MalformedError) as exc:
+            log.info("direct orders to %s: %s", machine.name, exc)
+        finally:
+            del self.couriers[machine.name]
+
+    # --- time ----------------------------------------------------------------
+    def tick(self, now: float) -> None:
+        if self.direct_used:
+            self.direct_used = False
+            self.counter += 1
+        for machine in list(self.books.machines.values()):
+            if not machine.attempts and machine.phase is not MachinePhase.UNHEARD:
+                continue
+            since = max(machine.last_answer, self.took_over)
+            if now - since > self.lapse_s():
+                log.info("lease of machine %s has lapsed", machine.name)
+                machine.confirmed = False
+                self._lost(self.books.release_all(machine, now), now)
+                self.exits.pop(machine.name, None)
+                if machine.phase is MachinePhase.UNHEARD:
+                    # Known from records only: if it still exists, its report or the
+                    # cloud's list brings it back.
+                    self.books.remove_machine(machine, now, "not heard since the take-over")
+
+    def machine_gone(self, machine: Machine, now: float, why: str) -> None:
+        self.books.deleted.add(machine.name)
+        self.exits.pop(machine.name, None)
+        client = self.clients.pop(machine.addr, None)
+        if client is not None:
+            client.close()
+        self._lost(self.books.remove_machine(machine, now, why), now)
+
+    def close(self) -> None:
+        for task in self.couriers.values():
+            task.cancel()
+        for client in self.clients.values():
+            client.close()
