--- a/bench/cost.py
+++ b/bench/cost.py
@@ -42,7 +42,7 @@
     )  # fmt: skip
     books = Books(1, 1 << 24)
     books.types = {"g": KIND}
-    workers = Workers(books, params.workers, now, lambda: True, lambda job: None, lambda: None)
+    workers = Workers(books, params.workers, now, lambda: True, lambda job: None, lambda: None, 9)
     writer: Any = SimpleNamespace(versions={}, submit=lambda ops: None)
     placement = Placement(books, params, writer, workers, lambda: 0.0, lambda: True)
     for i in range(machines):
@@ -51,7 +51,7 @@
     for n in range(jobs):
         books.jobs[f"j-{n:06d}"] = Job(spec(n, 2 if n % 3 == 0 else tasks, n % 3 == 0))
     began = time.process_time()
-    plan = placement.decide(now)
+    plan = await placement.decide(now)
     first = time.process_time() - began
     for start in plan.starts:
         job, machine = books.jobs[start.job], books.machines[start.machine]
@@ -59,7 +59,7 @@
             attempt = books.book(job, task, books.new_attempt_number(), machine, "r")
             attempt.enter(AttemptPhase.RUNNING, now)
     began = time.process_time()
-    placement.decide(now)
+    await placement.decide(now)
     full = time.process_time() - began
     busiest = max(books.machines.values(), key=lambda m: len(m.attempts))
     wire = {
@@ -86,5 +86,5 @@
 
 
 if __name__ == "__main__":
-    for size in ((30, 40, 30), (48, 80, 30), (120, 160, 30), (240, 320, 30)):
+    for size in ((30, 40, 30), (48, 80, 30), (218, 80, 30), (456, 120, 100), (456, 300, 150)):
         asyncio.run(measure(*size))
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -174,6 +174,8 @@
                 await asyncio.sleep(c.TICK_S)
 
     def _account(self, now: float) -> None:
+        if now - self.accounted < c.SAMPLE_S:
+            return
         self.account.add(list(self.books.machines.values()), self.books.types, now - self.accounted)
         self.accounted = now
         if now - self.reported > c.ACCOUNT_S:
--- a/peathall/jobs/ranges.py
+++ b/peathall/jobs/ranges.py
@@ -57,6 +57,15 @@
                 result.append((high, b))
         self.spans = result
 
+    def first_outside(self, other: Ranges) -> int | None:
+        """The lowest number that `other` lacks."""
+        for low, high in self.spans:
+            at = bisect_right(other.spans, (low, float("inf"))) - 1
+            end = other.spans[at][1] if at >= 0 else low
+            if end < high:
+                return max(low, end)
+        return None
+
     def first(self, count: int) -> list[int]:
         """The lowest `count` numbers."""
         found: list[int] = []
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -7,15 +7,13 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
 from peathall import constants as c
 from peathall.books import Books
 from peathall.jobs import records
 from peathall.jobs.model import Job, JobPhase
 from peathall.settings import Params
 from peathall.store.client import ConflictError, Drop, Item, Put, StateClient, StoreError
-from peathall.store.writer import DeposedError, Writer
+from peathall.store.writer import Change, DeposedError, Writer
 from peathall.wire import names
 from peathall.wire.names import JobSpec, MachineType, Standing
 
@@ -220,9 +218,44 @@
 
     def note_done(self, job: Job) -> None:
         """Some tasks were reported done: store that, then tell."""
-        if not job.writing and job.phase is JobPhase.ACTIVE:
+        if job.writing or job.phase is not JobPhase.ACTIVE:
+            return
+        if len(job.done) >= job.spec.tasks:
             job.writing = True
-            self._spawn(self._write_done(job))
+            self._spawn(self._finish(job))
+        else:
+            self.writer.offer(records.DONE + job.spec.id, lambda: self._done_change(job))
+
+    async def _finish(self, job: Job) -> None:
+        try:
+            while job.phase is JobPhase.ACTIVE:
+                if job.settling is not None:
+                    await asyncio.wait([job.settling])
+                else:
+                    await self._settle(job, Standing.DONE)
+        finally:
+            job.writing = False
+        self.archive_if_over(job)
+
+    def _done_change(self, job: Job) -> Change | None:
+        """The first block with news; the others follow, one by one."""
+        news = job.done.first_outside(job.stored)
+        if news is None or job.phase is not JobPhase.ACTIVE:
+            return None
+        block = news // self.block
+        record = records.done_record(job.done, block, self.block)
+        change = Change({}, [Put(records.done_key(job.spec.id, block), record)])
+
+        def stored(written: asyncio.Future[int]) -> None:
+            if written.cancelled() or written.exception() is not None:
+                return
+            for low, high in record["done"]:
+                job.stored.add(low, high)
+            if job.done.first_outside(job.stored) is not None:
+                self.note_done(job)
+
+        change.done.add_done_callback(stored)
+        return change
 
     def _spawn(self, coro: Any) -> None:
         task = asyncio.create_task(coro)
@@ -236,36 +269,16 @@
             if not isinstance(error, DeposedError):
                 log.error("writing a record failed", exc_info=error)
 
-    async def _write_done(self, job: Job) -> None:
-        try:
-            while job.phase is JobPhase.ACTIVE and len(job.stored) < len(job.done):
-                if len(job.done) >= job.spec.tasks:
-                    if job.settling is not None:
-                        await asyncio.wait([job.settling])
-                    else:
-                        await self._settle(job, Standing.DONE)
-                    continue
-                told = msgspec.convert(job.done.to_record(), list[tuple[int, int]])
-                blocks = sorted({t // self.block for t in job.done if t not in job.stored})
-                for block in blocks[: self.params.state.txn_ops]:
-                    record = records.done_record(job.done, block, self.block)
-                    await self.writer.submit([Put(records.done_key(job.spec.id, block), record)])
-                    low, high = block * self.block, (block + 1) * self.block
-                    for a, b in told:
-                        job.stored.add(max(a, low), min(b, high))
-        finally:
-            job.writing = False
-
     def archive_if_over(self, job: Job) -> None:
         if job.phase is JobPhase.ACTIVE or job.attempts or job.writing:
             return
-        job_id = job.spec.id
-        if self.books.jobs.get(job_id) is not job:
-            return
-        self._spawn(self._archive(job))
+        if self.books.jobs.get(job.spec.id) is job:
+            self.writer.offer(records.PAST + job.spec.id, lambda: self._archive_change(job))
 
-    async def _archive(self, job: Job) -> None:
+    def _archive_change(self, job: Job) -> Change | None:
         job_id = job.spec.id
+        if job.attempts or job.writing or self.books.jobs.get(job_id) is not job:
+            return None
         job.writing = True
         standing = job.standing
         ops: list[Put | Drop] = [
@@ -276,16 +289,19 @@
         keys += [records.done_key(job_id, block) for block in range(last + 1)]
         ops += [Drop(key) for key in keys if key in self.writer.versions]
         limit = self.params.state.txn_ops
-        try:
-            await self.writer.submit(ops[:limit])
-        except ConflictError as exc:
-            log.error("archiving %s: %s", job_id, exc)
-            return
-        self.writer.versions.pop(records.PAST + job_id, None)  # never written again
-        self.books.past[job_id] = standing
-        self.books.jobs.pop(job_id, None)
-        for op in ops[limit:]:
-            self.writer.submit([op])
+        change = Change({}, ops[:limit])
+
+        def archived(written: asyncio.Future[int]) -> None:
+            if written.cancelled() or written.exception() is not None:
+                return
+            self.writer.versions.pop(records.PAST + job_id, None)  # never written again
+            self.books.past[job_id] = standing
+            self.books.jobs.pop(job_id, None)
+            for op in ops[limit:]:
+                self.writer.submit([op])
+
+        change.done.add_done_callback(archived)
+        return change
 
     # --- following the store -------------------------------------------------
     async def follow(self, revision: int) -> None:
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -57,7 +57,13 @@
         self.books = Books(mandate.term, first_attempt(mandate.term))
         self.writer = Writer(store, params.state, (LEAD, mandate.version), may_act, depose)
         self.workers = Workers(
-            self.books, params.workers, now, self.may_act, self._done, self._nudge
+            self.books,
+            params.workers,
+            now,
+            self.may_act,
+            self._done,
+            self._nudge,
+            max(1, int(params.machine_limits.fd_limit * c.DIRECT_SHARE)),
         )
         self.caches = Caches(self.books, self.writer)
         self.workers.on_images = self.caches.changed
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -48,16 +48,18 @@
     def assemble(self) -> None:
         settings = self.settings
         self.loop = asyncio.get_running_loop()
-        self.store = StateClient(settings.services.state, settings.params.state)
+        self.store = StateClient(
+            settings.services.state, settings.params.state, 1 + len(settings.peers)
+        )
         self.cloud = CloudClient(settings.services.cloud, settings.params.cloud)
         self.leader: Leader | None = None
         self.election = Election(settings.name, self.store, self._lead, self.rng)
         self.peers = Peers(settings.peers, self._forwarded)
         self.started = self.loop.time()
         self.types: dict[str, MachineType] = {}
-        callers = int(settings.params.machine_limits.fd_limit * c.FD_SHARE)
-        self.api = HttpServer(self._serve, callers)
-        self.back = HttpServer(self.peers.serve, callers // 4)
+        sockets = settings.params.machine_limits.fd_limit
+        self.api = HttpServer(self._serve, int(sockets * c.CALLER_SHARE))
+        self.back = HttpServer(self.peers.serve, int(sockets * c.PEER_SHARE))
 
     async def run(self) -> None:
         self.assemble()
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Container, Iterable, Iterator, Sequence
 from zlib import crc32
 
 from peathall import constants as c
@@ -53,21 +53,39 @@
         self.ends = ends  # seconds after which it should end by itself, by its owner's estimate
 
 
+class Detail:
+    """What only some decisions need to know of a machine."""
+
+    __slots__ = ("by_end", "coming", "pulling", "victims")
+
+    def __init__(
+        self,
+        pulling: Iterable[str] = (),
+        coming: tuple[float, float, float] = (0.0, 0.0, 0.0),
+        victims: Iterable[Victim] = (),
+    ) -> None:
+        self.pulling = set(pulling)  # images that are on their way here
+        self.coming = list(coming)  # room of attempts that are being stopped
+        # In the order in which they would be stopped, and in that in which they end.
+        self.victims = sorted(victims, key=lambda v: (-v.priority, v.lost, v.key))
+        self.by_end = sorted(self.victims, key=lambda v: v.ends)
+
+
 class MachineView:
     __slots__ = (
-        "coming",
+        "_detail",
         "cpus",
+        "detail",
         "free",
         "gpus",
         "images",
         "kept_for",
+        "key",
         "name",
-        "pulling",
         "ram",
         "spot",
         "stale",
         "type",
-        "victims",
         "zone",
     )
 
@@ -79,25 +97,33 @@
         spot: bool,
         size: tuple[float, float, float],
         free: tuple[float, float, float],
-        images: Iterable[str] = (),
-        pulling: Iterable[str] = (),
+        images: Container[str] = (),
         stale: int = 0,
-        coming: tuple[float, float, float] = (0.0, 0.0, 0.0),
-        victims: list[Victim] | None = None,
+        detail: Callable[[], Detail] = Detail,
     ) -> None:
         self.name = name
+        self.key = name.encode()
         self.type = type_
         self.zone = zone
         self.spot = spot
         self.cpus, self.gpus, self.ram = size
         self.free = list(free)
-        self.images = set(images)
-        self.pulling = set(pulling)
+        self.images = images
         self.stale = stale  # whole report intervals since the last report
-        self.coming = list(coming)  # room of attempts that are being stopped
-        self.victims = victims or []
+        self.detail = detail
+        self._detail: Detail | None = None
         self.kept_for: float | None = None  # seconds until a gang that waits for it can start
 
+    def look(self) -> Detail:
+        """Looked up once a round, and only if a decision depends on it."""
+        if self._detail is None:
+            self._detail = self.detail()
+        return self._detail
+
+    def room(self) -> list[float]:
+        """Free room, and room that is being freed."""
+        return [a + b for a, b in zip(self.free, self.look().coming, strict=True)]
+
     def fits(self, spec: JobSpec) -> int:
         """How many tasks of the job fit into the free room."""
         return fits_in(self.free, spec)
@@ -108,6 +134,17 @@
         self.free[2] -= spec.ram * count
 
 
+class Group:
+    """Machines of one type, zone and kind: what a job allows, it allows for all of them."""
+
+    __slots__ = ("machines", "open", "spot", "type", "zone")
+
+    def __init__(self, sample: MachineView) -> None:
+        self.type, self.zone, self.spot = sample.type, sample.zone, sample.spot
+        self.machines: list[MachineView] = []
+        self.open: list[MachineView] = []  # with room for the smallest task that waits
+
+
 class JobView:
     __slots__ = (
         "avoid",
@@ -170,15 +207,18 @@
         self.leftover: dict[str, list[float]] = {}  # room left on each machine
 
 
-def fits_in(free: list[float], spec: JobSpec) -> int:
+def fits_in(free: Sequence[float], spec: JobSpec) -> int:
     count = spec.tasks
-    for room, need in zip(free, (spec.cpus, spec.gpus, spec.ram), strict=True):
-        if need > 0:
-            count = min(count, int((room + EPS) / need))
+    if spec.cpus > 0:
+        count = min(count, int((free[0] + EPS) / spec.cpus))
+    if spec.gpus > 0:
+        count = min(count, int((free[1] + EPS) / spec.gpus))
+    if spec.ram > 0:
+        count = min(count, int((free[2] + EPS) / spec.ram))
     return max(0, count)
 
 
-def allowed(machine: MachineView, spec: JobSpec) -> bool:
+def allowed(machine: MachineView | Group, spec: JobSpec) -> bool:
     return (
         (spec.types is None or machine.type in spec.types)
         and (spec.zone is None or machine.zone == spec.zone)
@@ -186,19 +226,20 @@
     )
 
 
-def rank(machine: MachineView, spec: JobSpec, keep_ordinary: bool) -> tuple[float, ...]:
+def rank(machine: MachineView, spec: JobSpec, keep_ordinary: bool, seed: int) -> tuple[float, ...]:
     """The paper's order of hosts, after what is scarce: GPUs, and ordinary machines
-    while there are jobs that may use no others."""
+    while there are jobs that may use no others. `seed` begins the hash with the job."""
+    cached = spec.image in machine.images
     return (
         machine.gpus,
         keep_ordinary and not machine.spot,
-        spec.image not in machine.images,
-        spec.image not in machine.pulling,
+        not cached,
+        not cached and spec.image not in machine.look().pulling,
         machine.stale,
         not machine.spot,  # the dearer machines fall idle first and are returned
-        machine.free[2] - spec.ram,
-        machine.free[0] - spec.cpus,
-        crc32(f"{spec.id} {machine.name}".encode()),
+        machine.free[2],
+        machine.free[0],
+        crc32(machine.key, seed),
     )
 
 
@@ -247,6 +288,7 @@
         usage: dict[str, list[float]],
         keep_ordinary: bool = False,
         shapes: Sequence[JobSpec] = (),
+        lowest: int | None = None,
     ) -> None:
         self.keep_ordinary = keep_ordinary
         self.shapes = shapes
@@ -255,7 +297,50 @@
         self.usage = {team: list(use) for team, use in usage.items()}
         self.plan = Plan()
         self.stopped: set[tuple[str, int]] = set()
-        self.lowest = max((v.priority for m in machines for v in m.victims), default=-1)
+        if lowest is None:
+            lowest = max((v.priority for m in machines for v in m.look().victims), default=-1)
+        self.lowest = lowest  # priority of what matters least of all that runs
+        self.groups: dict[tuple[str, str, bool], Group] = {}
+        for machine in machines:
+            key = (machine.type, machine.zone, machine.spot)
+            if key not in self.groups:
+                self.groups[key] = Group(machine)
+            self.groups[key].machines.append(machine)
+        self.zone_names = list(dict.fromkeys(m.zone for m in machines))
+        self.floor = (0.0, 0.0, 0.0)
+        # How many machines have room for one more task of each of `shapes`.
+        self.roomy = [
+            sum(m.fits(shape) > 0 for g in self.groups.values() if allowed(g, shape)
+                for m in g.machines)
+            for shape in shapes
+        ]  # fmt: skip
+
+    def run(self, jobs: list[JobView]) -> Iterator[None]:
+        """Job by job, so that the caller can let others have their turn in between."""
+        waiting = [job for job in jobs if job.todo > 0]
+        if not waiting:
+            return
+        totals = (sum(m.cpus for m in self.machines), sum(m.gpus for m in self.machines))
+        specs = [job.spec for job in waiting]
+        # A machine without room for the least that any job needs is not looked at again.
+        self.floor = (
+            min(s.cpus for s in specs) - EPS,
+            min(s.gpus for s in specs) - EPS,
+            min(s.ram for s in specs) - EPS,
+        )
+        for group in self.groups.values():
+            group.open = group.machines
+            self._narrow(group)
+        for job in sorted(waiting, key=lambda j: order(j, totals)):
+            self.place(job)
+            yield
+        self.plan.leftover = {m.name: m.free for m in self.machines}
+
+    def _narrow(self, group: Group) -> None:
+        cpus, gpus, ram = self.floor
+        group.open = [
+            m for m in group.open if m.free[0] >= cpus and m.free[1] >= gpus and m.free[2] >= ram
+        ]
 
     def within_limit(self, spec: JobSpec, wanted: int) -> int:
         """How many of the tasks the team's limit still allows."""
@@ -272,31 +357,58 @@
     def start(self, job: JobView, machine: MachineView, count: int) -> None:
         spec = job.spec
         self.plan.starts.append(Start(spec.id, machine.name, count))
-        machine.take(spec, count)
-        machine.pulling.add(spec.image)
+        self._take(machine, spec, count)
+        machine.look().pulling.add(spec.image)
         use = self.usage.setdefault(spec.team, [0.0, 0.0])
         use[0] += spec.cpus * count
         use[1] += spec.gpus * count
         job.running_zones[machine.zone] = job.running_zones.get(machine.zone, 0) + count
         job.todo -= count
 
-    @staticmethod
-    def usable(machine: MachineView, job: JobView) -> bool:
-        return allowed(machine, job.spec) and machine.name not in job.avoid
+    def _take(self, machine: MachineView, spec: JobSpec, count: int) -> None:
+        before = [machine.fits(shape) > 0 for shape in self.shapes]
+        machine.take(spec, count)
+        for i, shape in enumerate(self.shapes):
+            if before[i] and not machine.fits(shape) and allowed(machine, shape):
+                self.roomy[i] -= 1
 
     @staticmethod
     def may_fill(machine: MachineView, spec: JobSpec) -> bool:
         """On a machine that is kept for a gang, only what ends before that can start."""
         return machine.kept_for is None or (not spec.gang and spec.estimate_s < machine.kept_for)
 
-    def candidates(self, job: JobView) -> list[MachineView]:
-        spec = job.spec
-        found = [
+    def allowed_groups(self, spec: JobSpec) -> list[Group]:
+        return [group for group in self.groups.values() if allowed(group, spec)]
+
+    def usable(self, job: JobView, zone: str | None = None) -> list[MachineView]:
+        """The machines that the job allows, in one zone or in all."""
+        return [
             m
-            for m in self.machines
-            if self.usable(m, job) and self.may_fill(m, spec) and m.fits(spec) > 0
+            for group in self.allowed_groups(job.spec)
+            if zone is None or group.zone == zone
+            for m in group.machines
+            if m.name not in job.avoid
         ]
-        found.sort(key=lambda m: rank(m, spec, self.keep_ordinary))
+
+    def candidates(self, job: JobView) -> list[MachineView]:
+        """The machines with room for a task of the job, best first."""
+        spec = job.spec
+        cpus, gpus, ram = spec.cpus - EPS, spec.gpus - EPS, spec.ram - EPS
+        found = []
+        for group in self.allowed_groups(spec):
+            self._narrow(group)
+            for m in group.open:
+                free = m.free
+                if (
+                    free[0] >= cpus
+                    and free[1] >= gpus
+                    and free[2] >= ram
+                    and self.may_fill(m, spec)
+                    and m.name not in job.avoid
+                ):
+                    found.append(m)
+        seed = crc32(f"{spec.id} ".encode())
+        found.sort(key=lambda m: rank(m, spec, self.keep_ordinary, seed))
         return found
 
     def place(self, job: JobView) -> None:
@@ -309,7 +421,7 @@
             if self.wait_for_image(job, spec.tasks):
                 return
             if not self.place_gang(job):
-                self.make_room(job, spec.tasks, self.machines)
+                self.make_room(job, spec.tasks)
                 self.plan.short.append((job, spec.tasks))
             return
         wanted = self.within_limit(spec, job.todo)
@@ -317,12 +429,14 @@
             return
         left = self.place_tasks(job, wanted)
         if left > 0:
-            self.make_room(job, left, self.machines)
+            self.make_room(job, left)
             self.plan.short.append((job, left))
 
     def place_tasks(self, job: JobView, wanted: int) -> int:
         """Independent tasks: as many as there is room for. Returns how many lack room."""
         spec = job.spec
+        if wanted <= 0:
+            return wanted
         cap = (spec.tasks + 1) // 2
         home = next(iter(job.running_zones), None) if spec.one_zone else None
         for machine in self.candidates(job):
@@ -344,10 +458,9 @@
 
     def sparing(self, machine: MachineView, spec: JobSpec, count: int) -> int:
         """As many tasks as leave room for one more gang task of each class, somewhere."""
-        for shape in self.shapes:
-            if not allowed(machine, shape) or not machine.fits(shape):
-                continue
-            if any(m is not machine and allowed(m, shape) and m.fits(shape) for m in self.machines):
+        for i, shape in enumerate(self.shapes):
+            # Only the last machine with room for such a task has to spare it.
+            if self.roomy[i] != 1 or not allowed(machine, shape) or not machine.fits(shape):
                 continue
             spare = [
                 a - b
@@ -357,9 +470,7 @@
         return count
 
     def zones(self, spec: JobSpec) -> list[str | None]:
-        if not spec.one_zone:
-            return [None]
-        return list(dict.fromkeys(m.zone for m in self.machines))
+        return list(self.zone_names) if spec.one_zone else [None]
 
     def place_gang(self, job: JobView) -> bool:
         spec = job.spec
@@ -397,13 +508,13 @@
         spec = job.spec
         if job.fetch_s < c.FETCH_WORTH_S or not job.urgent:
             return False
-        cached = [m for m in self.machines if self.usable(m, job) and spec.image in m.images]
+        cached = [m for m in self.usable(job) if spec.image in m.images]
         free = sum(m.fits(spec) for m in cached if self.may_fill(m, spec))
         if not cached or free >= wanted:
             return False
         return self.make_room(job, wanted, cached)
 
-    def make_room(self, job: JobView, wanted: int, machines: list[MachineView]) -> bool:
+    def make_room(self, job: JobView, wanted: int, only: list[MachineView] | None = None) -> bool:
         """Claim room that is or becomes free, and stop others where the rules allow it.
 
         Claimed room is taken out of this round, so that later jobs do not fill it
@@ -414,12 +525,11 @@
             return False  # nobody may be stopped, and independent tasks need no room together
         if not job.urgent and not job.covered:
             return False
-        usable = [m for m in machines if self.usable(m, job)]
         best: list[tuple[MachineView, int, list[Victim]]] | None = None
         best_cost = 0.0
         for zone in self.zones(spec):
             options = []
-            for machine in usable:
+            for machine in self.usable(job, zone) if only is None else only:
                 if zone is not None and machine.zone != zone:
                     continue
                 count, victims, cost = self.room_with_victims(machine, job, wanted)
@@ -439,16 +549,17 @@
                 continue
             if chosen and (best is None or total < best_cost):
                 best, best_cost = chosen, total
-        if best is None and spec.gang and machines is self.machines:
+        if best is None and spec.gang and only is None:
             self.keep_machines(job)
         for machine, count, victims in best or ():
+            coming = machine.look().coming
             for victim in victims:
                 if victim.key not in self.stopped:
                     self.stopped.add(victim.key)
                     self.plan.stops.append(victim.key)
-                machine.coming[0] += victim.cpus
-                machine.coming[1] += victim.gpus
-                machine.coming[2] += victim.ram
+                coming[0] += victim.cpus
+                coming[1] += victim.gpus
+                coming[2] += victim.ram
             self.claim(machine, spec, count)
         return best is not None and sum(count for _, count, _ in best) >= wanted
 
@@ -458,17 +569,17 @@
         best: list[tuple[float, str, MachineView, int]] | None = None
         for zone in self.zones(spec):
             options = []
-            for machine in self.machines:
-                if self.usable(machine, job) and zone in (None, machine.zone):
-                    wait, count = free_in(machine, spec)
-                    if count:
-                        options.append((wait, machine.name, machine, count))
+            for machine in self.usable(job, zone):
+                wait, count = free_in(machine, spec)
+                if count:
+                    options.append((wait, machine.name, machine, count))
             options.sort(key=lambda x: x[:2])
             chosen, left = [], spec.tasks
             for option in options:
-                if left > 0:
-                    chosen.append(option)
-                    left -= option[3]
+                if left <= 0:
+                    break
+                chosen.append(option)
+                left -= option[3]
             if left <= 0 and (best is None or chosen[-1][0] < best[-1][0]):
                 best = chosen
         for _, _, machine, _ in best or ():
@@ -479,16 +590,16 @@
         self, machine: MachineView, job: JobView, wanted: int
     ) -> tuple[int, list[Victim], float]:
         spec = job.spec
-        room = [a + b for a, b in zip(machine.free, machine.coming, strict=True)]
+        room = machine.room()
         count = min(fits_in(room, spec), wanted)
         victims: list[Victim] = []
         cost = 0.0
         if count >= wanted:
             return count, victims, cost
-        usable = [v for v in machine.victims if self.may_stop(v, job)]
-        usable.sort(key=lambda v: (-v.priority, v.lost, v.key))
         picked: list[Victim] = []
-        for victim in usable:
+        for victim in machine.look().victims:
+            if not self.may_stop(victim, job):
+                continue
             helps = (victim.cpus and spec.cpus) or (victim.gpus and spec.gpus) or victim.ram
             if not helps:
                 continue
@@ -506,17 +617,18 @@
         return count, victims, cost
 
     def claim(self, machine: MachineView, spec: JobSpec, count: int) -> None:
+        coming = machine.look().coming
         for i, need in enumerate((spec.cpus * count, spec.gpus * count, spec.ram * count)):
-            from_coming = min(machine.coming[i], need)
-            machine.coming[i] -= from_coming
+            from_coming = min(coming[i], need)
+            coming[i] -= from_coming
             machine.free[i] -= need - from_coming
 
 
 def free_in(machine: MachineView, spec: JobSpec) -> tuple[float, int]:
     """After how many seconds a task of the job fits, if nothing new is placed here."""
-    room = [a + b for a, b in zip(machine.free, machine.coming, strict=True)]
+    room = machine.room()
     wait = 0.0
-    for victim in sorted(machine.victims, key=lambda v: v.ends):
+    for victim in machine.look().by_end:
         if fits_in(room, spec):
             break
         room[0] += victim.cpus
@@ -550,14 +662,9 @@
     machines: list[MachineView],
     teams: dict[str, Team],
     usage: dict[str, list[float]],
-    keep_ordinary: bool = False,
-    shapes: Sequence[JobSpec] = (),
 ) -> Plan:
-    """`shapes`: a job of each class of gangs seen lately, for the next of which room is kept."""
-    current = Round(machines, teams, usage, keep_ordinary, shapes)
-    totals = (sum(m.cpus for m in machines), sum(m.gpus for m in machines))
-    for job in sorted(jobs, key=lambda j: order(j, totals)):
-        if job.todo > 0:
-            current.place(job)
-    current.plan.leftover = {m.name: m.free for m in machines}
+    """A whole round at once."""
+    current = Round(machines, teams, usage)
+    for _ in current.run(jobs):
+        pass
     return current.plan
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -12,16 +12,18 @@
 from peathall.jobs.model import Attempt, AttemptPhase, Job, JobPhase
 from peathall.jobs.ranges import Ranges
 from peathall.placement.planner import (
+    Detail,
     JobView,
     MachineView,
     Plan,
+    Round,
+    Start,
     Victim,
     latest_start,
-    make_plan,
 )
 from peathall.settings import Params
 from peathall.store.client import Drop, Item, Put
-from peathall.store.writer import Writer
+from peathall.store.writer import Change, Writer
 from peathall.wire.body import json_size
 from peathall.wire.names import JobSpec
 from peathall.workers.model import Machine, MachinePhase
@@ -95,11 +97,11 @@
                     attempt.enter(AttemptPhase.SENT, now)
         for item in items:
             if item.key not in self.books.rounds:
-                self.writer.submit([Drop(item.key)])
+                self._round_over(item.key)
 
     def _round_over(self, key: str) -> None:
         if key in self.writer.versions:
-            self.writer.submit([Drop(key)])
+            self.writer.offer(key, lambda: Change({}, [Drop(key)]))
 
     # --- rounds --------------------------------------------------------------
     def nudge(self) -> None:
@@ -121,7 +123,7 @@
             await asyncio.sleep(min(c.ROUND_IDLE_S, (self.loop.time() - began) * c.ROUND_LOAD))
 
     async def round(self, now: float) -> None:
-        plan = self.decide(now)
+        plan = await self.decide(now)
         self.short, self.leftover = plan.short, plan.leftover
         self.on_short()
         for job_id, task in plan.stops:
@@ -129,22 +131,33 @@
         if plan.starts:
             await self._start(plan, now)
 
-    def decide(self, now: float) -> Plan:
+    async def decide(self, now: float) -> Plan:
+        """One plan, on views taken at its beginning. Others get their turn between jobs:
+        a long round must not hold up check-ins, users and the renewal of the lead."""
         wall = self.wall()
         covered = self._covered()
-        jobs = []
-        for job in self.books.jobs.values():
-            if job.phase is JobPhase.ACTIVE and job.todo and now >= job.backoff_until:
-                jobs.append(self._job_view(job, wall, covered))
+        active = [job for job in self.books.jobs.values() if job.phase is JobPhase.ACTIVE]
+        jobs = [
+            self._job_view(job, wall, now, covered)
+            for job in active
+            if job.todo and now >= job.backoff_until
+        ]
+        if not jobs:
+            return Plan()
         machines = [
             self._machine_view(m, now, covered)
             for m in self.books.machines.values()
             if self._usable(m, now)
         ]
-        strict = any(
-            not j.spec.spot for j in self.books.jobs.values() if j.phase is JobPhase.ACTIVE
-        )
-        return make_plan(jobs, machines, self.teams, self.books.usage, strict, self._shapes(wall))
+        strict = any(not job.spec.spot for job in active)
+        lowest = max((job.spec.priority for job in active if job.attempts), default=-1)
+        current = Round(machines, self.teams, self.books.usage, strict, self._shapes(wall), lowest)
+        since = self.loop.time()
+        for _ in current.run(jobs):
+            if self.loop.time() - since > c.SLICE_S:
+                await asyncio.sleep(0)
+                since = self.loop.time()
+        return current.plan
 
     def _shapes(self, wall: float) -> list[JobSpec]:
         """The latest gang of each class that came lately."""
@@ -189,11 +202,12 @@
                 covered.add(job.spec.id)
         return covered
 
-    def _job_view(self, job: Job, wall: float, covered: set[str]) -> JobView:
+    def _job_view(self, job: Job, wall: float, now: float, covered: set[str]) -> JobView:
         zones: dict[str, int] = {}
-        for attempt in job.attempts.values():
-            zone = self.books.machines[attempt.machine].zone
-            zones[zone] = zones.get(zone, 0) + 1
+        if job.spec.one_zone or job.spec.spread:
+            for attempt in job.attempts.values():
+                zone = self.books.machines[attempt.machine].zone
+                zones[zone] = zones.get(zone, 0) + 1
         latest = latest_start(job.spec, self.params.objectives, wall, 0.0)
         return JobView(
             job.spec,
@@ -218,6 +232,20 @@
         return [name for name in recent if name in self.books.machines]
 
     def _machine_view(self, machine: Machine, now: float, covered: set[str]) -> MachineView:
+        report_s = self.params.workers.report_s * 1.25  # reports come up to a quarter late
+        return MachineView(
+            machine.name,
+            machine.type,
+            machine.zone,
+            machine.spot,
+            (machine.cpus, machine.gpus, machine.ram),
+            (machine.free_cpus, machine.free_gpus, machine.free_ram),
+            machine.images,
+            int(self.workers.silence(machine, now) / report_s),
+            lambda: self._detail(machine, now, covered),
+        )
+
+    def _detail(self, machine: Machine, now: float, covered: set[str]) -> Detail:
         coming = [0.0, 0.0, 0.0]
         victims = []
         for (job_id, task), attempt in machine.attempts.items():
@@ -243,20 +271,7 @@
                     max(1.0, spec.estimate_s - ran),
                 )
             )
-        report_s = self.params.workers.report_s * 1.25  # reports come up to a quarter late
-        return MachineView(
-            machine.name,
-            machine.type,
-            machine.zone,
-            machine.spot,
-            (machine.cpus, machine.gpus, machine.ram),
-            (machine.free_cpus, machine.free_gpus, machine.free_ram),
-            machine.images,
-            machine.fetching(),
-            int(self.workers.silence(machine, now) / report_s),
-            (coming[0], coming[1], coming[2]),
-            victims,
-        )
+        return Detail(machine.fetching(), (coming[0], coming[1], coming[2]), victims)
 
     def _preempt(self, job_id: str, task: int, now: float) -> None:
         job = self.books.jobs.get(job_id)
@@ -284,13 +299,29 @@
         for target in list(attempt.job.attempts.values()) if spec.gang else [attempt]:
             self.workers.stop(target, grace, now)
 
+    def _still_valid(self, starts: list[Start], now: float) -> list[Start]:
+        """What may have changed while the round was decided: jobs that ended, machines that
+        are not to be used any more. Room and limits cannot: only rounds take them."""
+        dead = set()
+        wanted: dict[str, int] = {}
+        for start in starts:
+            wanted[start.job] = wanted.get(start.job, 0) + start.count
+            machine = self.books.machines.get(start.machine)
+            if machine is None or not self._usable(machine, now):
+                dead.add(start.job)
+        for job_id, count in wanted.items():
+            job = self.books.jobs.get(job_id)
+            if job is None or job.phase is not JobPhase.ACTIVE or len(job.todo) < count:
+                dead.add(job_id)
+        return [start for start in starts if start.job not in dead]
+
     async def _start(self, plan: Plan, now: float) -> None:
         """Book the room, store the intent, and only then let the starts go out."""
         entries: list[list[Any]] = []
         fresh: list[list[Attempt]] = []
         numbers: dict[str, int] = {}
         wall = self.wall()
-        for start in plan.starts:
+        for start in self._still_valid(plan.starts, now):
             job = self.books.jobs[start.job]
             waited = wall - job.spec.submitted
             log.info(
--- a/peathall/store/budget.py
+++ b/peathall/store/budget.py
@@ -32,6 +32,11 @@
             return 0.0
         return (need - self.level) / self.rate
 
+    def spare(self, now: float) -> float:
+        """How much may be spent now so that half a burst is left for what can't wait."""
+        self._refill(now)
+        return self.level - self.burst / 2
+
     def spend(self, amount: float, now: float) -> None:
         """Spend without asking: lease renewals go first, others then wait longer."""
         self._refill(now)
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -68,21 +68,30 @@
 
 
 class StateClient:
-    def __init__(self, addr: str, limits: StateSettings) -> None:
+    def __init__(self, addr: str, limits: StateSettings, controllers: int) -> None:
         self.limits = limits
+        self.followers = max(1, controllers - 1)
         self.http = HttpClient(addr)
         self.watch_http = HttpClient(addr)
         self.loop = asyncio.get_running_loop()
-        self.requests = Budget(limits.rps * c.FOLLOWER_RPS_SHARE)
-        self.writes = Budget(limits.write_rps * c.FOLLOWER_WRITE_SHARE)
+        self.requests = Budget(limits.rps * self._share(c.LEADER_RPS_SHARE, False))
+        self.writes = Budget(limits.write_rps * self._share(c.LEADER_WRITE_SHARE, False))
         self.last_good = -1e9
 
     def set_leading(self, leading: bool) -> None:
-        rps = c.LEADER_RPS_SHARE if leading else c.FOLLOWER_RPS_SHARE
-        wps = c.LEADER_WRITE_SHARE if leading else c.FOLLOWER_WRITE_SHARE
         now = self.loop.time()
-        self.requests.set_rate(self.limits.rps * rps, now)
-        self.writes.set_rate(self.limits.write_rps * wps, now)
+        self.requests.set_rate(self.limits.rps * self._share(c.LEADER_RPS_SHARE, leading), now)
+        self.writes.set_rate(
+            self.limits.write_rps * self._share(c.LEADER_WRITE_SHARE, leading), now
+        )
+
+    def spare_writes(self) -> float:
+        return self.writes.spare(self.loop.time())
+
+    def _share(self, leaders: float, leading: bool) -> float:
+        """Of a budget: the leader's part, or an equal part of what that leaves. Whatever the
+        number of controllers, the sum stays within the whole."""
+        return leaders if leading else (1.0 - leaders) / self.followers
 
     async def _budget(self, writes: int) -> None:
         while (pause := self.requests.wait(1, self.loop.time())) > 0:
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -68,6 +68,7 @@
         self.on_deposed = on_deposed
         self.phase = WriterPhase.IDLE
         self.queue: list[Change] = []
+        self.spare: dict[str, Callable[[], Change | None]] = {}  # see offer()
         self.wake = asyncio.Event()
         self.versions: dict[str, int] = {}
 
@@ -93,8 +94,24 @@
             self.wake.set()
         return change.done
 
+    def offer(self, name: str, make: Callable[[], Change | None]) -> None:
+        """What may wait: `make` is asked for its change once there is budget to spare.
+
+        Offered again under its name before that, it is still written once, in its latest
+        state: the busier the store, the fewer such writes, and they never delay an accept,
+        an end or a round.
+        """
+        if self.phase is not WriterPhase.STOPPED and name not in self.spare:
+            self.spare[name] = make
+            self.wake.set()
+
+    @property
+    def idle(self) -> bool:
+        return not self.queue and not self.spare and self.phase is WriterPhase.IDLE
+
     def stop(self) -> None:
         self._enter(WriterPhase.STOPPED)
+        self.spare.clear()
         for change in self.queue:
             if not change.done.done():
                 change.done.set_exception(DeposedError())
@@ -106,26 +123,45 @@
         batch: list[Change] = []
         keys: set[str] = set()
         ops = size = checks = 0
-        for change in self.queue:
+
+        def add(change: Change) -> bool:
+            nonlocal ops, size, checks, keys
             touched = {op.key for op in change.ops} | set(change.conditions)
-            ops += len(change.ops)
-            size += change.size
-            checks += len(touched)
             if batch and (
-                ops > self.limits.txn_ops
-                or size > c.TXN_BYTES
-                or checks >= 4 * self.limits.txn_ops
+                ops + len(change.ops) > self.limits.txn_ops
+                or size + change.size > c.TXN_BYTES
+                or checks + len(touched) >= 4 * self.limits.txn_ops
                 or touched & keys
             ):
-                break
+                return False
+            ops += len(change.ops)
+            size += change.size
+            checks += len(touched)
             keys |= touched
             batch.append(change)
+            return True
+
+        for change in self.queue:
+            if not add(change):
+                break
         del self.queue[: len(batch)]
+        left = self.store.spare_writes() - ops if self.spare else 0
+        for name in list(self.spare):
+            if left < 1 or ops >= self.limits.txn_ops:
+                break
+            make = self.spare.pop(name)
+            offered = make()
+            if offered is None:
+                continue
+            left -= len(offered.ops)
+            if not add(offered):
+                self.spare[name] = make  # asked again next time
+                break
         return batch
 
     async def run(self) -> None:
         while self.phase is not WriterPhase.STOPPED:
-            if not self.queue:
+            if not self.queue and not self.spare:
                 self.wake.clear()
                 await self.wake.wait()
                 continue
@@ -134,10 +170,21 @@
                 await asyncio.sleep(c.STORE_RETRY_S)
                 continue
             batch = self._take()
+            if not batch:
+                await self._rest()
+                continue
             self._enter(WriterPhase.COMMITTING)
             await self._commit(batch)
             self._enter(WriterPhase.IDLE)
 
+    async def _rest(self) -> None:
+        """Only such writes wait as may, and there is no budget to spare."""
+        self.wake.clear()
+        try:
+            await asyncio.wait_for(self.wake.wait(), c.SPARE_WAIT_S)
+        except TimeoutError:
+            pass
+
     async def _commit(self, batch: list[Change]) -> None:
         conditions = {self.lead[0]: self.lead[1]}
         ops: list[Put | Drop] = []
--- a/peathall/wire/http.py
+++ b/peathall/wire/http.py
@@ -311,6 +311,7 @@
         self.content_type = content_type
         self.keep = keep
         self.idle: list[ClientConnection] = []
+        self.busy = 0  # requests under way
 
     async def _connect(self, timeout: float) -> ClientConnection:
         loop = asyncio.get_running_loop()
@@ -331,6 +332,15 @@
 
     async def request(
         self, method: str, path: str, body: bytes = b"", timeout: float = 5.0
+    ) -> tuple[int, bytes]:
+        self.busy += 1
+        try:
+            return await self._request(method, path, body, timeout)
+        finally:
+            self.busy -= 1
+
+    async def _request(
+        self, method: str, path: str, body: bytes, timeout: float
     ) -> tuple[int, bytes]:
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {self.addr}\r\n"
--- a/peathall/workers/caches.py
+++ b/peathall/workers/caches.py
@@ -8,7 +8,7 @@
 
 from peathall.books import Books
 from peathall.store.client import Drop, Item, Put
-from peathall.store.writer import Writer, WriterPhase
+from peathall.store.writer import Writer
 from peathall.workers.model import Machine
 
 CACHE = "cache/"
@@ -36,7 +36,7 @@
 
     def write_one(self) -> None:
         """One record at a time, when nothing that matters more waits for the store."""
-        if not self.dirty or self.writer.queue or self.writer.phase is not WriterPhase.IDLE:
+        if not self.dirty or not self.writer.idle:
             return
         name = next(iter(self.dirty))
         del self.dirty[name]
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 from typing import Any
 
@@ -49,6 +50,7 @@
         may_act: Callable[[], bool],
         on_done: Callable[[Job], None],
         on_change: Callable[[], None],
+        lines: int,
     ) -> None:
         self.books = books
         self.settings = settings
@@ -65,7 +67,9 @@
         self.exits: dict[str, list[Exits]] = {}
         self.strays: dict[str, list[tuple[str, int, int]]] = {}  # tasks that nobody asked for
         self.couriers: dict[str, asyncio.Task[None]] = {}
-        self.clients: dict[str, HttpClient] = {}
+        self.lines = lines  # direct connections at once
+        self.turn = asyncio.Semaphore(lines)
+        self.clients: OrderedDict[str, HttpClient] = OrderedDict()  # least lately used first
         self.last_checkin = now
         self.on_images: Callable[[Machine], None] = lambda machine: None
         self.on_confirmed: Callable[[Machine], None] = lambda machine: None
@@ -333,28 +337,40 @@
     async def _deliver(self, machine: Machine) -> None:
         try:
             await asyncio.sleep(0)  # whatever is decided in this turn goes out together
-            now = self.loop.time()
-            orders = self._orders(machine, now, direct=True)
-            if not orders or not self.may_act():
-                return
-            message = names.direct_orders(self.token, machine.session, orders)
-            client = self.clients.get(machine.addr)
-            if client is None:
-                client = self.clients[machine.addr] = HttpClient(machine.addr, keep=1)
-            status, raw = await client.request(
-                "POST", "/commands", body.cbor_bytes(message), c.DIRECT_TIMEOUT_S
-            )
-            if status == 200 and self.may_act():
-                report = names.report_from_wire(body.cbor_map(raw))
-                if (report.session, report.seq) > (machine.session, machine.seq):
-                    self._apply(machine, report, self.loop.time(), conclusive=False)
-            elif status != 200:
-                log.info("direct orders to %s refused: %d", machine.name, status)
+            async with self.turn:
+                await self._deliver_now(machine)
         except (NoAnswerError, body.MalformedError) as exc:
             log.info("direct orders to %s: %s", machine.name, exc)
         finally:
             del self.couriers[machine.name]
 
+    async def _deliver_now(self, machine: Machine) -> None:
+        orders = self._orders(machine, self.loop.time(), direct=True)
+        if not orders or not self.may_act():
+            return
+        message = names.direct_orders(self.token, machine.session, orders)
+        status, raw = await self._line(machine.addr).request(
+            "POST", "/commands", body.cbor_bytes(message), c.DIRECT_TIMEOUT_S
+        )
+        if status == 200 and self.may_act():
+            report = names.report_from_wire(body.cbor_map(raw))
+            if (report.session, report.seq) > (machine.session, machine.seq):
+                self._apply(machine, report, self.loop.time(), conclusive=False)
+        elif status != 200:
+            log.info("direct orders to %s refused: %d", machine.name, status)
+
+    def _line(self, addr: str) -> HttpClient:
+        """A connection to a worker; of the unused ones the oldest are closed, so that
+        hundreds of machines do not use up the sockets."""
+        client = self.clients.get(addr)
+        if client is None:
+            client = self.clients[addr] = HttpClient(addr, keep=1)
+        self.clients.move_to_end(addr)
+        unused = [a for a, other in self.clients.items() if not other.busy and other is not client]
+        for other in unused[: max(0, len(self.clients) - self.lines)]:
+            self.clients.pop(other).close()
+        return client
+
     # --- time ----------------------------------------------------------------
     def tick(self, now: float) -> None:
         if self.direct_used:
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -6,7 +6,14 @@
 from collections import Counter
 
 from peathall.fleet.planner import Bin, Offer, plan_rentals
-from peathall.placement.planner import JobView, MachineView, Victim, latest_start, make_plan
+from peathall.placement.planner import (
+    Detail,
+    JobView,
+    MachineView,
+    Victim,
+    latest_start,
+    make_plan,
+)
 from peathall.settings import Objective, Team
 from peathall.wire.names import JobSpec, MachineType
 
@@ -62,7 +69,7 @@
     def __init__(self, machines: list[MachineView], teams: dict[str, Team]) -> None:
         self.machines, self.teams = machines, teams
         self.free = {m.name: list(m.free) for m in machines}
-        self.pulling = {m.name: set(m.pulling) for m in machines}
+        self.pulling = {m.name: set(m.look().pulling) for m in machines}
         self.used = {t: [0.0, 0.0] for t in teams}
         self.starts: Counter[tuple[str, str]] = Counter()
 
@@ -75,7 +82,8 @@
             from zlib import crc32
 
             return (
-                m.gpus, s.image not in m.images, s.image not in self.pulling[m.name], m.stale,
+                m.gpus, s.image not in m.images,
+                s.image not in m.images and s.image not in self.pulling[m.name], m.stale,
                 not m.spot, self.free[m.name][2], self.free[m.name][0],
                 crc32(f"{s.id} {m.name}".encode()),
             )  # fmt: skip
@@ -168,7 +176,8 @@
 
 
 def full(priority: int, **more: object) -> MachineView:
-    view = machine("m-0", (4.0, 0.0, 8.0), victims=[victim("j-9", priority, **more)])  # type: ignore[arg-type]
+    detail = Detail(victims=[victim("j-9", priority, **more)])  # type: ignore[arg-type]
+    view = machine("m-0", (4.0, 0.0, 8.0), detail=lambda: detail)
     view.free = [0.0, 0.0, 0.0]
     return view
 
@@ -198,7 +207,8 @@
     small = JobView(spec(id="j-2", tasks=4, estimate_s=100.0), 4)
     brief = JobView(spec(id="j-3", tasks=1, estimate_s=5.0), 1)
     view = full(1)
-    view.victims = [Victim(("j-9", 0), (2.0, 0.0, 4.0), 1, "u", False, 1.0, 30.0)]
+    detail = Detail(victims=[Victim(("j-9", 0), (2.0, 0.0, 4.0), 1, "u", False, 1.0, 30.0)])
+    view.detail = lambda: detail
     view.free = [2.0, 0.0, 4.0]
     plan = make_plan([gang, small, brief], [view], TEAMS, {})
     assert [(s.job, s.count) for s in plan.starts] == [("j-3", 1)]
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -24,8 +24,12 @@
     def __init__(self) -> None:
         self.data: dict[str, tuple[Any, int]] = {"lead": ({}, 1)}
         self.revision = 1
+        self.spare = 12.0
         self.lose: list[bool] = []  # for each coming commit that gets no answer: carried out?
 
+    def spare_writes(self) -> float:
+        return self.spare
+
     async def get(self, key: str) -> Item | None:
         found = self.data.get(key)
         return Item(key, found[0], found[1]) if found else None
