--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -18,8 +18,9 @@
 # --- state service ----------------------------------------------------------
 STORE_TIMEOUT_S = 1.5  # s; answers take 10 ms, now and then a few hundred
 STORE_RETRY_S = 0.25  # s; pause after 429, 503 or silence, so that an outage costs few requests
-LEADER_RPS_SHARE = 0.7  # of the request budget; the followers' watches and fallbacks share the rest
-LEADER_WRITE_SHARE = 0.85  # of the write budget; the followers' accepts without a leader, the rest
+LEADER_RPS_SHARE = 0.4  # of the request budget; the followers' watches and fallbacks share the rest
+LEADER_WRITE_SHARE = 0.75  # of the write budget; the followers' accepts without a leader, the rest
+KNOWN_JOBS = 20_000  # jobs of which a follower remembers what it read, some 300 bytes each
 SPARE_WAIT_S = 0.25  # s; before the write budget is looked at again for what may wait
 WATCH_HOLD_S = 6.0  # s; a watch behind a silent cut is noticed after this plus the timeout
 VALUE_FILL = 0.85  # of value_kb is used, since the limit counts another encoding than we measure
@@ -68,7 +69,7 @@
 AGED_S = 150.0  # s; a job that none of its tasks has a place for so long goes before all
 # others: the largest must begin within four minutes, however many smaller ones come
 ESTIMATE_FLOOR = 0.3  # of the estimate is expected to be left of a task that outlives it
-FETCH_WORTH_S = 10.0  # s; a longer fetch is worth clearing a machine that has the image
+FETCH_WORTH_S = 6.0  # s; a longer fetch is worth clearing a machine that has the image
 URGENT_S = 30.0  # s; with more time left to meet an aim, a job waits rather than stop others
 
 # --- fleet ------------------------------------------------------------------
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -15,7 +15,7 @@
 
 from peathall import constants as c
 from peathall.fleet.service import TYPES, CloudClient
-from peathall.jobs import fallback
+from peathall.jobs.fallback import Fallback
 from peathall.jobs.service import NOT_NOW, Answer
 from peathall.leader import Leader
 from peathall.leadership.election import Election, Mandate
@@ -24,7 +24,7 @@
 from peathall.store.client import StateClient, StoreError
 from peathall.wire import body, names
 from peathall.wire.http import HttpServer, NoAnswerError, Request, Response
-from peathall.wire.names import JobSpec, MachineType
+from peathall.wire.names import JobSpec
 
 log = logging.getLogger("peathall.node")
 
@@ -56,7 +56,7 @@
         self.election = Election(settings.name, self.store, self._lead, self.rng)
         self.peers = Peers(settings.peers, self._forwarded)
         self.started = self.loop.time()
-        self.types: dict[str, MachineType] = {}
+        self.fallback = Fallback(self.store, settings.params)
         self.peers.leads = self.election.may_act
         sockets = settings.params.machine_limits.fd_limit
         self.api = HttpServer(self._serve, int(sockets * c.CALLER_SHARE))
@@ -109,10 +109,10 @@
                 item = await self.store.get(TYPES)
                 if item is not None:
                     types = [names.machine_type_from_wire(x) for x in item.value["builds"]]
-                    self.types = {t.name: t for t in types}
+                    self.fallback.types = {t.name: t for t in types}
             except StoreError as exc:
                 log.debug("reading machine types: %s", exc)
-            await asyncio.sleep(c.TYPES_S if self.types else 2.0)
+            await asyncio.sleep(c.TYPES_S if self.fallback.types else 2.0)
 
     # --- the way of a request ------------------------------------------------
     async def _serve(self, request: Request) -> Response:
@@ -224,9 +224,9 @@
     async def _fallback(self, message: dict[str, Any], spec: JobSpec | None) -> Answer:
         work: Awaitable[Answer]
         if message["op"] == "query":
-            work = fallback.query(self.store, message["id"])
+            work = self.fallback.query(message["id"])
         elif message["op"] == "accept" and spec is not None:
-            work = fallback.accept(self.store, spec, self.types, self.settings.params)
+            work = self.fallback.accept(spec)
         else:
             return NOT_NOW
         try:
