Tasks that save by themselves often are stopped without a save; lost machines of records

Cause: urgent gangs waited 4.0 s for the save of the tasks they displaced and then fetched for 8 s or more. Machines known from records only were waited for until their lease lapsed.

--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -64,6 +64,8 @@
 ROUND_IDLE_S = 2.0  # s; a round also runs this often, since deadlines and health move (DESIGN)
 SHAPE_MEMORY_S = 180.0  # s; room is kept for the next gang of a class that came so lately
 SETTLED_S = 31.0  # s; a start that is stopped within 30 s does not count for the aims
+SAVES_WORTH = 4.0  # times the save: a task that saves by itself so often loses, with half an
+# interval, at most twice as long as the save would hold up whoever needs its room
 RESTART_S = 10.0  # s; what a stopped task loses besides work: queueing, a start, perhaps a fetch
 EFFORT_WEIGHT = 3.0  # times the seconds a job would fill the fleet are added to its latest start
 AGED_S = 150.0  # s; a job that none of its tasks has a place for so long goes before all
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -234,12 +234,10 @@
 
     # --- returning -----------------------------------------------------------
     def _heard_share(self, now: float) -> float:
-        up = [m for m in self.books.machines.values() if m.phase is MachinePhase.UP]
-        if not up:
-            return 0.0
+        up = self.workers.expected()
         limit = self.workers.suspect_s()
         reached = [m for m in up if m.deaf_since is None and self.workers.silence(m, now) < limit]
-        return len(reached) / len(up)
+        return len(reached) / max(1, len(up))
 
     def _to_delete(self, now: float) -> list[Machine]:
         heard = self._heard_share(now)
@@ -266,14 +264,15 @@
             if machine.taken_at is not None and now > machine.taken_at + c.TAKEN_S:
                 return "taken back by now"  # the answer frees its tasks before their lease
             return ""
-        if phase is MachinePhase.UP and heard >= c.HEARD_SHARE:
+        if phase in (MachinePhase.UP, MachinePhase.UNHEARD) and heard >= c.HEARD_SHARE:
             lost_s = self.workers.lost_s()
             quiet = self.workers.silence(machine, now)
             if quiet > lost_s and (heard >= c.SURE_SHARE or not self.workers.knocks(machine)):
                 return f"silent for {quiet:.0f} s"
             if machine.deaf_since is not None and now - machine.deaf_since > lost_s:
                 return f"got no answer of ours for {now - machine.deaf_since:.0f} s"
-            if not machine.confirmed and now - machine.came > 2 * lost_s:
+            late = phase is MachinePhase.UP and not machine.confirmed
+            if late and now - machine.came > 2 * lost_s:
                 return "reported once, and nothing since shows that it exists"
         if (
             phase is MachinePhase.UP
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -275,7 +275,13 @@
         if job is None or task not in job.attempts:
             return
         log.info("task %s/%d is stopped to make room", job_id, task)
-        self._stop_in_order(job.attempts[task], now)
+        attempt, spec = job.attempts[task], job.spec
+        if not spec.gang and spec.checkpoint_s <= c.SAVES_WORTH * spec.save_s:
+            # What it has done since it last saved by itself is little; whoever needs the
+            # room would wait for the save.
+            self.workers.stop(attempt, 0.0, now)
+        else:
+            self._stop_in_order(attempt, now)
 
     def evacuate(self, machine: Machine, now: float) -> None:
         """The cloud takes the machine back soon: save what can be saved, and go on elsewhere."""
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -110,9 +110,14 @@
         late copy of an old report is no sign of life."""
         return self.elsewhere().get(machine.name, (0, -1)) > machine.checked
 
+    def expected(self) -> list[Machine]:
+        """Machines that should report to us, known from reports or only from records."""
+        phases = (MachinePhase.UP, MachinePhase.UNHEARD)
+        return [m for m in self.books.machines.values() if m.phase in phases]
+
     def out_of_reach(self, now: float) -> bool:
         """Most machines are alive, but don't hear us or are not heard: our own trouble."""
-        up = [m for m in self.books.machines.values() if m.phase is MachinePhase.UP]
+        up = self.expected()
         lost = [
             m for m in up if m.deaf_since is not None or self.silence(m, now) > self.unreached_s()
         ]
