Cache hints are offered like other writes that may wait; an end that could not be stored is tried again

Cause: hints were written only while the writer had nothing else, which on a grown deployment is never, so every take-over forgot all caches.

--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -211,6 +211,11 @@
         job.settling = self.writer.submit([Put(records.FATE + job.spec.id, record)])
         try:
             await job.settling
+        except ConflictError:
+            # Not what we thought stands there: learn it, and whoever asked tries again.
+            found = await self.store.get(records.FATE + job.spec.id)
+            self.writer.versions[records.FATE + job.spec.id] = found.version if found else 0
+            raise
         finally:
             job.settling = None
         self._final(job, standing)
@@ -273,6 +278,13 @@
             if not isinstance(error, DeposedError):
                 log.error("writing a record failed", exc_info=error)
 
+    def look_after(self, job: Job) -> None:
+        """Every second: an end that could not be stored must not be given up."""
+        if job.phase is not JobPhase.ACTIVE:
+            self.archive_if_over(job)
+        elif len(job.done) >= job.spec.tasks:
+            self.note_done(job)
+
     def archive_if_over(self, job: Job) -> None:
         if job.phase is JobPhase.ACTIVE or job.attempts or job.writing:
             return
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -177,11 +177,10 @@
             await asyncio.sleep(c.TICK_S)
             if self.may_act():
                 self.workers.tick(self.loop.time())
-                self.caches.write_one()
                 if self.loop.time() - self.workers.took_over > c.FORGET_CACHES_S:
                     self.caches.forget_unknown()
                 for job in list(self.books.jobs.values()):
-                    self.jobs.archive_if_over(job)
+                    self.jobs.look_after(job)
 
     # --- requests ------------------------------------------------------------
     async def checkin(self, report: Report) -> tuple[int, dict[str, Any] | None]:
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -229,17 +229,13 @@
     )
 
 
-def scarcity(machine: MachineView, keep_ordinary: bool) -> tuple[float, ...]:
-    """What is spared for those that fit nowhere else: any GPUs, then ordinary machines (while
-    there are jobs that may use no others), then many GPUs."""
-    return (machine.gpus > 0, keep_ordinary and not machine.spot, machine.gpus)
-
-
 def rank(machine: MachineView, spec: JobSpec, keep_ordinary: bool, seed: int) -> tuple[float, ...]:
-    """The paper's order of hosts, after what is scarce. `seed` begins the hash with the job."""
+    """The paper's order of hosts, after what is scarce: GPUs, and ordinary machines
+    while there are jobs that may use no others. `seed` begins the hash with the job."""
     cached = spec.image in machine.images
     return (
-        *scarcity(machine, keep_ordinary),
+        machine.gpus,
+        keep_ordinary and not machine.spot,
         not cached,
         not cached and spec.image not in machine.look().pulling,
         machine.stale,
@@ -551,7 +547,7 @@
                 if spec.image not in machine.images:
                     cost += job.fetch_s  # the machine is as idle while it fetches
                 if count:
-                    scarce = scarcity(machine, self.keep_ordinary)
+                    scarce = (machine.gpus, self.keep_ordinary and not machine.spot)
                     options.append((scarce, cost / count, machine.name, machine, count, victims))
             options.sort(key=lambda x: x[:3])
             chosen: list[tuple[MachineView, int, list[Victim]]] = []
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -105,10 +105,6 @@
             self.spare[name] = make
             self.wake.set()
 
-    @property
-    def idle(self) -> bool:
-        return not self.queue and not self.spare and self.phase is WriterPhase.IDLE
-
     def stop(self) -> None:
         self._enter(WriterPhase.STOPPED)
         self.spare.clear()
@@ -149,13 +145,12 @@
         for name in list(self.spare):
             if left < 1 or ops >= self.limits.txn_ops:
                 break
-            make = self.spare.pop(name)
-            offered = make()
+            offered = self.spare.pop(name)()
             if offered is None:
                 continue
             left -= len(offered.ops)
             if not add(offered):
-                self.spare[name] = make  # asked again next time
+                self.queue.append(offered)  # it was made, so it must be written
                 break
         return batch
 
--- a/peathall/workers/caches.py
+++ b/peathall/workers/caches.py
@@ -8,7 +8,7 @@
 
 from peathall.books import Books
 from peathall.store.client import Drop, Item, Put
-from peathall.store.writer import Writer
+from peathall.store.writer import Change, Writer
 from peathall.workers.model import Machine
 
 CACHE = "cache/"
@@ -18,7 +18,6 @@
     def __init__(self, books: Books, writer: Writer) -> None:
         self.books = books
         self.writer = writer
-        self.dirty: dict[str, None] = {}  # machines whose record is out of date, oldest first
         self.loaded: dict[str, list[tuple[str, float]]] = {}
 
     def load(self, items: list[Item]) -> None:
@@ -32,26 +31,25 @@
             machine.images.setdefault(image, size)
 
     def changed(self, machine: Machine) -> None:
-        self.dirty[machine.name] = None
-
-    def write_one(self) -> None:
-        """One record at a time, when nothing that matters more waits for the store."""
-        if not self.dirty or not self.writer.idle:
-            return
-        name = next(iter(self.dirty))
-        del self.dirty[name]
-        machine = self.books.machines.get(name)
-        if machine is not None:
-            images = [[image, size] for image, size in machine.images.items()]
-            self.writer.submit([Put(CACHE + name, {"images": images})])
+        """Written in its latest state when nothing that matters more waits for the store."""
+        self.writer.offer(CACHE + machine.name, lambda: self._change(machine))
+
+    def _change(self, machine: Machine) -> Change | None:
+        if self.books.machines.get(machine.name) is not machine:
+            return None
+        images = [[image, size] for image, size in machine.images.items()]
+        return Change({}, [Put(CACHE + machine.name, {"images": images})])
 
     def gone(self, machine: Machine) -> None:
         key = CACHE + machine.name
         if key in self.writer.versions:
-            self.writer.submit([Drop(key)])
+            self._drop(key)
+
+    def _drop(self, key: str) -> None:
+        self.writer.offer(f"drop {key}", lambda: Change({}, [Drop(key)]))
 
     def forget_unknown(self) -> None:
         """Records of machines that are no more, after the cloud's list was read."""
         for name in [n for n in self.loaded if n not in self.books.machines]:
             del self.loaded[name]
-            self.writer.submit([Drop(CACHE + name)])
+            self._drop(CACHE + name)
