--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -71,7 +71,7 @@
 AGED_S = 150.0  # s; a job that none of its tasks has a place for so long goes before all
 # others: the largest must begin within four minutes, however many smaller ones come
 ESTIMATE_FLOOR = 0.3  # of the estimate is expected to be left of a task that outlives it
-FETCH_WORTH_S = 6.0  # s; a longer fetch is worth clearing a machine that has the image
+FETCH_WORTH_S = 10.0  # s; a longer fetch is worth clearing a machine that has the image
 URGENT_S = 30.0  # s; with more time left to meet an aim, a job waits rather than stop others
 
 # --- fleet ------------------------------------------------------------------
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -544,8 +544,6 @@
                 if zone is not None and machine.zone != zone:
                     continue
                 count, victims, cost = self.room_with_victims(machine, job, wanted)
-                if spec.image not in machine.images:
-                    cost += job.fetch_s  # the machine is as idle while it fetches
                 if count:
                     scarce = (machine.gpus, self.keep_ordinary and not machine.spot)
                     options.append((scarce, cost / count, machine.name, machine, count, victims))
