--- a/bench/cost.py
+++ b/bench/cost.py
@@ -13,6 +13,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+from peathall import constants as c
 from peathall.books import Books
 from peathall.jobs.model import AttemptPhase, Job
 from peathall.placement.service import Placement
@@ -33,9 +34,11 @@
     )  # fmt: skip
 
 
-async def measure(machines: int, jobs: int, tasks: int) -> None:
+async def measure(machines: int, jobs: int, tasks: int, aged: bool = False) -> None:
+    """`aged`: all jobs have waited for long, so each that lacks room looks for tasks to stop."""
     loop = asyncio.get_running_loop()
     now = loop.time()
+    since = now - 2 * c.AGED_S if aged else now
     params = Params(
         WorkerSettings(3.0, 24.0, 40.0, 4.0, 40.0), StateSettings(1e6, 1e6, 16.0, 16),
         CloudSettings(4.0, 4.0), [Team("t")],
@@ -49,7 +52,7 @@
         m = books.machine(f"m-{i:06d}", "g", "ab"[i % 2], False, MachinePhase.UP, now)
         m.confirmed = True
     for n in range(jobs):
-        books.jobs[f"j-{n:06d}"] = Job(spec(n, 2 if n % 3 == 0 else tasks, n % 3 == 0))
+        books.jobs[f"j-{n:06d}"] = Job(spec(n, 2 if n % 3 == 0 else tasks, n % 3 == 0), since)
     began = time.process_time()
     plan = await placement.decide(now)
     first = time.process_time() - began
@@ -78,8 +81,9 @@
         _, answer = workers.checkin(report, now)
         body.cbor_bytes(answer)
     each = (time.process_time() - began) / rounds
+    kind = "aged jobs" if aged else "jobs"
     print(
-        f"{machines:4d} machines, {jobs:4d} jobs: round with empty fleet {first * 1e3:6.1f} ms "
+        f"{machines:4d} machines, {jobs:4d} {kind}: round with empty fleet {first * 1e3:6.1f} ms "
         f"({sum(s.count for s in plan.starts)} starts), with full fleet {full * 1e3:6.1f} ms; "
         f"check-in with {len(busiest.attempts)} tasks {each * 1e3:5.2f} ms"
     )
@@ -88,3 +92,4 @@
 if __name__ == "__main__":
     for size in ((30, 40, 30), (48, 80, 30), (218, 80, 30), (456, 120, 100), (456, 300, 150)):
         asyncio.run(measure(*size))
+    asyncio.run(measure(456, 300, 150, aged=True))
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -42,6 +42,8 @@
         self.conditions = conditions
         self.ops = ops
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        # Whoever does not wait for the result must not cause a warning.
+        self.done.add_done_callback(lambda f: f.cancelled() or f.exception())
         self.size = sum(json_size(op.to_wire()) for op in ops)
 
 
@@ -85,8 +87,6 @@
         this writer knows of them (0: never written).
         """
         change = Change(conditions or {}, ops)
-        # Whoever does not wait for the result must not cause a warning.
-        change.done.add_done_callback(lambda f: f.cancelled() or f.exception())
         if self.phase is WriterPhase.STOPPED:
             change.done.set_exception(DeposedError())
         else:
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -271,3 +271,20 @@
     together = JobView(spec(gang=True, tasks=3, cpus=8.0, one_zone=True), 3)
     assert rented(together, 3, [], [Bin(OFFERS[2])]) == {("b", True): 3}
     assert rented(together, 3, [Bin(OFFERS[2])], []) == {("b", True): 2}
+
+
+def test_an_aged_gang_goes_first_and_has_its_team_s_limit_kept_for_it() -> None:
+    teams = {"t": Team("t", cpus_max=8.0)}
+    views = [machine(f"m-{i}", (4.0, 0.0, 8.0)) for i in range(3)]
+    gang = JobView(spec(id="j-1", gang=True, tasks=2, cpus=4.0, priority=2), 2, aged=True)
+    small = JobView(spec(id="j-2", cpus=4.0, priority=1), 1)
+    assert [s.job for s in make_plan([small, gang], views, teams, {}).starts] == ["j-1", "j-1"]
+    # Half of the limit is in use: a smaller job of the team would take what is left for ever.
+    for view in views:
+        view.free = [4.0, 0.0, 8.0]
+    gang.todo, small.todo = 2, 1
+    assert make_plan([small, gang], views, teams, {"t": [4.0, 0.0]}).starts == []
+    gang.aged = False
+    assert [s.job for s in make_plan([small, gang], views, teams, {"t": [4.0, 0.0]}).starts] == [
+        "j-2"
+    ]
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from peathall.jobs.fallback import Fallback
 from peathall.jobs.ranges import Ranges
 from peathall.jobs.records import block_tasks, done_record
 from peathall.leadership.lease import LeadLease, first_attempt, token
@@ -14,7 +15,7 @@
 from peathall.settings import StateSettings
 from peathall.store.budget import Budget
 from peathall.store.client import ConflictError, Item, Put, StateClient, StoreDoubtError
-from peathall.store.writer import DeposedError, Writer
+from peathall.store.writer import Change, DeposedError, Writer
 from peathall.wire.body import json_size
 
 
@@ -158,3 +159,69 @@
     pieces = split_record(entries, 2000)
     assert [e for piece in pieces for e in piece] == entries
     assert all(json_size(piece) <= 2100 for piece in pieces)
+
+
+def test_what_may_wait_is_written_once_in_its_latest_state_and_never_first() -> None:
+    store = FakeStore()
+    store.spare = 0.0
+    state = {"n": 0}
+
+    async def run() -> None:
+        client: Any = store
+        writer = Writer(client, LIMITS, ("lead", 1), lambda: True, lambda: None)
+        task = asyncio.create_task(writer.run())
+        for _ in range(3):
+            state["n"] += 1
+            writer.offer("hint", lambda: Change({}, [Put("hint", dict(state))]))
+            await writer.submit([Put(f"job/{state['n']}", 1)])
+            assert "hint" not in store.data  # no budget to spare
+        store.spare = 12.0
+        await writer.submit([Put("job/4", 1)])
+        assert store.data["hint"] == ({"n": 3}, store.data["job/4"][1])
+        writer.stop()
+        await task
+
+    asyncio.run(run())
+
+
+def test_the_shares_of_all_controllers_stay_within_the_store_s_limits() -> None:
+    """With five controllers, fixed shares for three once summed up to more than the whole."""
+
+    async def run() -> None:
+        for size in (1, 2, 3, 5, 9):
+            clients = [StateClient("10.0.0.1:1", LIMITS, size) for _ in range(size)]
+            clients[0].set_leading(True)
+            assert sum(x.requests.rate for x in clients) <= LIMITS.rps + 1e-9
+            assert sum(x.writes.rate for x in clients) <= LIMITS.write_rps + 1e-9
+
+    asyncio.run(run())
+
+
+def test_a_follower_reads_a_job_s_record_and_its_end_only_once() -> None:
+    class Counting(FakeStore):
+        reads = 0
+
+        async def get(self, key: str) -> Item | None:
+            self.reads += 1
+            return await super().get(key)
+
+    store = Counting()
+    store.write("job/j-1", {})
+
+    async def run() -> list[Any]:
+        client: Any = store
+        fallback = Fallback(client, None)  # type: ignore[arg-type]
+        answers = [await fallback.query("j-2"), await fallback.query("j-1")]
+        before = store.reads
+        answers.append(await fallback.query("j-1"))
+        assert store.reads == before + 2  # only whether it has ended
+        store.write("past/j-1", {"standing": "done", "done": 4})
+        answers.append(await fallback.query("j-1"))
+        before = store.reads
+        answers.append(await fallback.query("j-1"))
+        assert store.reads == before
+        return answers
+
+    answers = asyncio.run(run())
+    assert answers[0] == (404, None)
+    assert [a[1]["standing"] for a in answers[1:]] == ["queued", "queued", "done", "done"]
