--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -4,12 +4,14 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 from peathall.books import Books
+from peathall.fleet.service import Fleet
 from peathall.jobs.model import Attempt, AttemptPhase, Job
 from peathall.leadership.lease import first_attempt, token
 from peathall.peers.service import Peers
-from peathall.settings import Peer, WorkerSettings
+from peathall.settings import CloudSettings, Params, Peer, StateSettings, Team, WorkerSettings
 from peathall.wire.names import MachineType, Report, TaskReport, TaskState
 from peathall.workers.model import Machine, MachinePhase
 from peathall.workers.service import Workers
@@ -139,3 +141,41 @@
         assert peers.knocking(23.0) == {"m-1": (2, 1)}
 
     asyncio.run(run())
+
+
+def test_machines_that_hear_nothing_or_are_only_late_copies_are_returned() -> None:
+    def test(workers: Workers) -> None:
+        nothing: Any = None
+        params = Params(
+            workers.settings, StateSettings(9, 9, 8, 9), CloudSettings(4, 4), [Team("t")]
+        )
+        fleet = Fleet(
+            workers.books, params, nothing, nothing, workers, lambda: True, lambda: None, 1e6
+        )
+
+        def returned(now: float) -> list[str]:
+            return [m.name for m in fleet._to_delete(now)]
+
+        machine = known(workers)  # its last answer left at 6 s
+        for number in range(2, 6):  # others, so that the blame is not ours
+            for seq, at in ((1, 1.0), (2, 6.0)):
+                other = report(1, seq, workers.token)
+                other.machine = f"m-{number}"
+                workers.checkin(other, at)
+        workers.tick(7.0)
+        late = report(1, 9, 0)
+        late.machine = "m-9"
+        workers.checkin(late, 8.0)
+        workers.checkin(report(1, 3, 0), 8.0)
+        assert machine.deaf_since == 6.0
+        for now in (13.0, 18.0):
+            workers.tick(now)
+            for other in workers.books.machines.values():
+                if other.name != "m-9":
+                    other.last_heard = now
+        assert returned(20.0) == []
+        assert returned(21.0) == ["m-1"]  # deaf for more than lost_s()
+        # One report and no more, under an old mandate: silent, then not there at all.
+        assert returned(23.0) == ["m-1", "m-9"]
+
+    play(test)
