--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -44,8 +44,7 @@
         super().__init__(selector)
         self.rng = random.Random(seed)
         self.listeners: dict[tuple[str, int], tuple[Host, Callable[[], Any], Any]] = {}
-        self.held: set[frozenset[str]] = set()  # pairs of hosts whose packets are held back
-        self.one_way: set[tuple[str, str]] = set()  # from, to: the same in one direction only
+        self.held: set[tuple[str, str]] = set()  # from, to: hosts whose packets are held back
         self.set_task_factory(self._make_task)
 
     def time(self) -> float:
@@ -66,7 +65,7 @@
 
     def cut(self, a: str, b: str) -> bool:
         """Whether packets from a to b are held back."""
-        return frozenset((a, b)) in self.held or (a, b) in self.one_way
+        return (a, b) in self.held
 
     async def create_server(
         self, factory: Any, host: Any = None, port: Any = None, **_: Any
--- a/tests/sim/test_days.py
+++ b/tests/sim/test_days.py
@@ -177,14 +177,13 @@
 
 
 def cut(world: World, pairs: list[tuple[str, str]], seconds: float) -> None:
-    links = {frozenset(pair) for pair in pairs}
-    world.loop.held |= links
-    world.loop.call_later(seconds, world.loop.held.difference_update, links)
+    mute(world, pairs + [(b, a) for a, b in pairs], seconds)
 
 
 def mute(world: World, ways: list[tuple[str, str]], seconds: float) -> None:
-    world.loop.one_way |= set(ways)
-    world.loop.call_later(seconds, world.loop.one_way.difference_update, ways)
+    """A cut in one direction only."""
+    world.loop.held |= set(ways)
+    world.loop.call_later(seconds, world.loop.held.difference_update, ways)
 
 
 async def day(world: World, kinds: list[str]) -> None:
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -21,8 +21,10 @@
 TERM = 5
 
 
-def report(session: int, seq: int, seen: int, tasks: list[TaskReport] | None = None) -> Report:
-    return Report("m-1", "10.1.0.1:9", "g", "a", False, session, seq, seen, None, tasks or [])
+def report(
+    session: int, seq: int, seen: int, tasks: list[TaskReport] | None = None, machine: str = "m-1"
+) -> Report:
+    return Report(machine, "10.1.0.1:9", "g", "a", False, session, seq, seen, None, tasks or [])
 
 
 def running(attempt: Attempt) -> TaskReport:
@@ -159,13 +161,9 @@
         machine = known(workers)  # its last answer left at 6 s
         for number in range(2, 6):  # others, so that the blame is not ours
             for seq, at in ((1, 1.0), (2, 6.0)):
-                other = report(1, seq, workers.token)
-                other.machine = f"m-{number}"
-                workers.checkin(other, at)
+                workers.checkin(report(1, seq, workers.token, machine=f"m-{number}"), at)
         workers.tick(7.0)
-        late = report(1, 9, 0)
-        late.machine = "m-9"
-        workers.checkin(late, 8.0)
+        workers.checkin(report(1, 9, 0, machine="m-9"), 8.0)
         workers.checkin(report(1, 3, 0), 8.0)
         assert machine.deaf_since == 6.0
         for now in (13.0, 18.0):
