--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -33,15 +33,18 @@
 CAMPAIGN_JITTER_S = 0.25  # s; spreads candidates, so that one wins at the first try
 REST_S = 25.0  # s; a leader that the workers could not reach stands back for this long
 REST_VACANT_S = 6.0  # s; ... unless nobody else has taken the lead for this long
-UNREACHED_S = 7.0  # s; two missed reports of every machine, while they knock elsewhere
 
 # --- workers ----------------------------------------------------------------
 LAPSE_MARGIN_S = 1.0  # s; over the lease and the drift, for our own late timers
 TICK_S = 1.0  # s; how often leases are checked; room returns at most this much late
 SUSPECT_REPORTS = 3.0  # missed report intervals; no new work goes to such a machine (DESIGN)
+SUSPECT_LEASE = 0.5  # of the lease, if that is less: reports may be long apart
 LOST_REPORTS = 5.0  # missed report intervals; then deleting it frees its tasks before its lease
+LOST_LEASE = 0.6  # of the lease, if that is less: later, the lease would end as soon
+OUT_OF_REACH_SHARE = 0.5  # of the machines neither heard nor hearing us: another should lead
 HEARD_SHARE = 0.3  # of the machines must be heard before silence is blamed on a machine; one
 # that is alive behind a cut of ours knocks at another controller, which tells us
+SURE_SHARE = 0.8  # of the machines heard: then a machine that only others hear is of no use
 CHECKIN_HOLD_S = (
     1.5  # s; a check-in that meets a leader still reading its records waits (4 s limit)
 )
@@ -62,6 +65,8 @@
 SETTLED_S = 31.0  # s; a start that is stopped within 30 s does not count for the aims
 RESTART_S = 10.0  # s; what a stopped task loses besides work: queueing, a start, perhaps a fetch
 EFFORT_WEIGHT = 3.0  # times the seconds a job would fill the fleet are added to its latest start
+AGED_S = 150.0  # s; a job that none of its tasks has a place for so long goes before all
+# others: the largest must begin within four minutes, however many smaller ones come
 ESTIMATE_FLOOR = 0.3  # of the estimate is expected to be left of a task that outlives it
 FETCH_WORTH_S = 10.0  # s; a longer fetch is worth clearing a machine that has the image
 URGENT_S = 30.0  # s; with more time left to meet an aim, a job waits rather than stop others
@@ -90,7 +95,10 @@
 ACCEPT_S = 1.5  # s; a commit usually takes 10 ms; after this the user is told when to come back
 RETRY_AFTER_S = 1  # s; told with 503: the earliest at which users come back
 FALLBACK_S = 0.7  # s; asking the store itself must leave time for the answer
+STORE_FRESH_S = 8.0  # s; a follower's watch is answered at least this often
+PEER_FRESH_S = 4.0  # s; some peer answers a ping at least this often
 PING_S = 1.5  # s; between looks at each peer
-KNOCK_S = 5.0  # s; check-ins that a follower turned away count as knocks for this long
-KNOCK_NAMES = 200  # names in one answer to a ping, so that it stays small
-CUT_OFF_S = 6.0  # s; without store and peers for so long a controller calls itself unhealthy
+KNOCK_S = 6.0  # s; check-ins that a follower turned away count as knocks for this long
+KNOCK_MEMORY_S = 120.0  # s; late copies of a worker's reports are told from news for this long
+KNOCK_NAMES = 500  # names in one answer to a ping, so that it stays small
+YOUNG_S = 6.0  # s; a controller that has just started calls itself healthy
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -115,7 +115,6 @@
         self.may_act = may_act
         self.on_change = on_change
         self.idle_hold_s = idle_hold_s
-        self.knocking: Callable[[], set[str]] = set  # workers that reach other controllers
         self.guaranteed = any(team.cpus or team.gpus for team in params.teams)
         self.loop = asyncio.get_running_loop()
         self.refused: dict[tuple[str, str, bool], float] = {}
@@ -218,6 +217,7 @@
                 item.name, item.type, item.zone, item.spot, MachinePhase.BOOTING, now - item.age_s
             )
             machine.listed_at = now
+            machine.vouched = True
             if not machine.addr:
                 machine.addr = item.addr
             if item.state == "failed":
@@ -237,11 +237,12 @@
         up = [m for m in self.books.machines.values() if m.phase is MachinePhase.UP]
         if not up:
             return 0.0
-        limit = c.SUSPECT_REPORTS * self.settings.report_s
-        return sum(self.workers.silence(m, now) < limit for m in up) / len(up)
+        limit = self.workers.suspect_s()
+        reached = [m for m in up if m.deaf_since is None and self.workers.silence(m, now) < limit]
+        return len(reached) / len(up)
 
     def _to_delete(self, now: float) -> list[Machine]:
-        heard = self._heard_share(now) >= c.HEARD_SHARE
+        heard = self._heard_share(now)
         chosen = []
         for machine in self.books.machines.values():
             why = self._why_delete(machine, now, heard)
@@ -251,7 +252,7 @@
                 chosen.append(machine)
         return chosen[: c.DELETE_MAX - 20]
 
-    def _why_delete(self, machine: Machine, now: float, heard: bool) -> str:
+    def _why_delete(self, machine: Machine, now: float, heard: float) -> str:
         phase = machine.phase
         if phase is MachinePhase.DELETING:
             return "again"
@@ -265,14 +266,15 @@
             if machine.taken_at is not None and now > machine.taken_at + c.TAKEN_S:
                 return "taken back by now"  # the answer frees its tasks before their lease
             return ""
-        quiet = self.workers.silence(machine, now)
-        if (
-            phase is MachinePhase.UP
-            and heard
-            and quiet > c.LOST_REPORTS * self.settings.report_s
-            and machine.name not in self.knocking()
-        ):
-            return f"silent for {quiet:.0f} s"
+        if phase is MachinePhase.UP and heard >= c.HEARD_SHARE:
+            lost_s = self.workers.lost_s()
+            quiet = self.workers.silence(machine, now)
+            if quiet > lost_s and (heard >= c.SURE_SHARE or not self.workers.knocks(machine)):
+                return f"silent for {quiet:.0f} s"
+            if machine.deaf_since is not None and now - machine.deaf_since > lost_s:
+                return f"got no answer of ours for {now - machine.deaf_since:.0f} s"
+            if not machine.confirmed and now - machine.came > 2 * lost_s:
+                return "reported once, and nothing since shows that it exists"
         if (
             phase is MachinePhase.UP
             and not machine.attempts
@@ -331,7 +333,9 @@
         for machine in self.books.machines.values():
             kind = self._offer(machine)
             waking = machine.phase is MachinePhase.BOOTING or (
-                machine.phase is MachinePhase.UP and not machine.confirmed
+                machine.phase is MachinePhase.UP
+                and not machine.confirmed
+                and machine.vouched  # else perhaps a late report of one long gone
             )
             if kind is not None and waking:
                 coming.append(Bin(kind))
@@ -387,3 +391,4 @@
                     name, offer.type.name, offer.zone, offer.spot, MachinePhase.BOOTING, now
                 )
                 machine.born = now
+                machine.vouched = True
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -55,6 +55,7 @@
         writer: Writer,
         on_change: Callable[[], None],
         on_cancelled: Callable[[Job], None],
+        wall: Callable[[], float],
     ) -> None:
         self.books = books
         self.params = params
@@ -62,6 +63,7 @@
         self.writer = writer
         self.on_change = on_change
         self.on_cancelled = on_cancelled
+        self.wall = wall
         self.block = records.block_tasks(params.state.value_kb)
         self.accepting: dict[str, asyncio.Future[int]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -92,9 +94,11 @@
         job_id = item.key.removeprefix(records.JOB)
         job = self.books.jobs.get(job_id)
         if job is None:
-            job = self.books.jobs[job_id] = Job(names.spec_from_record(item.value))
+            spec = names.spec_from_record(item.value)
+            now = asyncio.get_running_loop().time()
+            job = self.books.jobs[job_id] = Job(spec, now - max(0.0, self.wall() - spec.submitted))
             self.writer.versions[item.key] = item.version
-            self.books.last_arrival = asyncio.get_running_loop().time()
+            self.books.last_arrival = now
             self.on_change()
         return job
 
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -44,7 +44,7 @@
         may_act: Callable[[], bool],
         depose: Callable[[], None],
         wall: Callable[[], float],
-        knocking: Callable[[], set[str]],
+        knocking: Callable[[], dict[str, tuple[int, int]]],
     ) -> None:
         params = settings.params
         self.loop = asyncio.get_running_loop()
@@ -69,7 +69,7 @@
         self.workers.on_images = self.caches.changed
         self.workers.on_gone = self.caches.gone
         self.workers.on_confirmed = self.caches.recall
-        self.jobs = Jobs(self.books, params, store, self.writer, self._nudge, self._cancelled)
+        self.jobs = Jobs(self.books, params, store, self.writer, self._nudge, self._cancelled, wall)
         self.placement = Placement(
             self.books, params, self.writer, self.workers, wall, self.may_act
         )
@@ -83,7 +83,7 @@
             self._nudge,
             operator.idle_hold_s,
         )
-        self.fleet.knocking = knocking
+        self.workers.elsewhere = knocking
         self.books.on_room = self._nudge
         self.placement.on_short = self._short
         self.requests: set[asyncio.Task[Answer]] = set()
--- a/peathall/leadership/lease.py
+++ b/peathall/leadership/lease.py
@@ -4,6 +4,9 @@
 
 from peathall import constants as c
 
+# The counter grows by one a second, so it never runs into the term.
+TERM_SHIFT = 32
+
 
 class LeadLease:
     """Counted from the sending of the last good renewal, less drift and a margin."""
@@ -22,9 +25,9 @@
 
 def token(term: int, counter: int) -> int:
     """Mandate of the workers' protocol: the term, then a counter the leader raises."""
-    return (term << 24) | counter
+    return (term << TERM_SHIFT) | counter
 
 
 def first_attempt(term: int) -> int:
     """Attempt numbers grow within a term and never meet another term's."""
-    return term << 24
+    return term << TERM_SHIFT
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -57,6 +57,7 @@
         self.peers = Peers(settings.peers, self._forwarded)
         self.started = self.loop.time()
         self.types: dict[str, MachineType] = {}
+        self.peers.leads = self.election.may_act
         sockets = settings.params.machine_limits.fd_limit
         self.api = HttpServer(self._serve, int(sockets * c.CALLER_SHARE))
         self.back = HttpServer(self.peers.serve, int(sockets * c.PEER_SHARE))
@@ -97,8 +98,8 @@
             leader, now = self.leader, self.loop.time()
             if leader is None or not leader.may_act():
                 continue
-            since = max(leader.workers.last_checkin, leader.workers.took_over)
-            if now - since > c.UNREACHED_S and self.peers.knocking_elsewhere(now):
+            young = now - leader.workers.took_over < leader.workers.unreached_s()
+            if not young and leader.workers.out_of_reach(now):
                 await self.election.resign("workers reach others, but not us")
 
     async def _learn_types(self) -> None:
@@ -131,13 +132,34 @@
         if not JOB_ID.match(job_id):
             return body.cbor_response(404, {"error": "no such job"})
         op = "cancel" if withdraw else "query"
-        return user_response(await self._ask({"op": op, "id": job_id}))
+        return self._user(await self._ask({"op": op, "id": job_id}))
+
+    def _cut_off(self, now: float) -> bool:
+        """Neither store nor peers answer: others may serve, this controller can't."""
+        store = now - self.store.last_good < c.STORE_FRESH_S and not self.store.failing
+        return (
+            bool(self.settings.peers)
+            and not store
+            and not self.peers.heard_any(now, c.PEER_FRESH_S)
+        )
 
     def _healthz(self) -> Response:
         now = self.loop.time()
-        reached = now - self.store.last_good < c.CUT_OFF_S or self.peers.heard_any(now, c.CUT_OFF_S)
-        young = now - self.started < c.CUT_OFF_S
-        return Response(200 if reached or young else 503)
+        young = now - self.started < c.YOUNG_S
+        return Response(503 if self._cut_off(now) and not young else 200)
+
+    def _user(self, answer: Answer) -> Response:
+        """An answer to a user; one that we can't serve is let go, to find another controller."""
+        response = user_response(answer)
+        response.close = response.status == 503 and self._cut_off(self.loop.time())
+        return response
+
+    def _steward(self) -> str | None:
+        """Who leads, as far as that is known now: a name from before a cut helps nobody."""
+        now = self.loop.time()
+        fresh = now - self.store.last_good < c.STORE_FRESH_S and not self.store.failing
+        name = self.election.leader if fresh else self.peers.leading()
+        return None if name == self.settings.name else name
 
     async def _checkin(self, request: Request) -> Response:
         try:
@@ -149,9 +171,9 @@
             if status == 200:
                 return body.cbor_response(200, answer)
             return body.cbor_response(503, {"error": "not entitled now"})
-        self.peers.knock(report.machine, self.loop.time())
-        steward = self.election.leader
-        if steward is None or steward == self.settings.name:
+        self.peers.knock(report.machine, (report.session, report.seq), self.loop.time())
+        steward = self._steward()
+        if steward is None:
             return body.cbor_response(421, {"error": "no leader"})
         return body.cbor_response(421, {"steward": steward})
 
@@ -164,7 +186,7 @@
         except body.MalformedError as exc:
             log.info("malformed submission: %s", exc)
             return body.cbor_response(400, {"error": str(exc)})
-        return user_response(await self._ask({"op": "accept", "job": record}, spec))
+        return self._user(await self._ask({"op": "accept", "job": record}, spec))
 
     async def _ask(self, message: dict[str, Any], spec: JobSpec | None = None) -> Answer:
         """The leader here, the leader elsewhere, or else the store itself."""
@@ -172,8 +194,8 @@
             if self.leader.may_act():
                 return await self._local(self.leader, message, spec)
         else:
-            steward = self.election.leader
-            if steward is not None and steward != self.settings.name:
+            steward = self._steward()
+            if steward is not None:
                 try:
                     limit = c.FORWARD_ACCEPT_S if message["op"] == "accept" else c.FORWARD_S
                     answer = await self.peers.forward(steward, message, limit)
--- a/peathall/peers/service.py
+++ b/peathall/peers/service.py
@@ -21,13 +21,14 @@
 class PeerView:
     """What the last ping to a peer told."""
 
-    __slots__ = ("client", "heard", "knocks", "peer")
+    __slots__ = ("client", "heard", "knocks", "leads", "peer")
 
     def __init__(self, peer: Peer) -> None:
         self.peer = peer
         self.client = HttpClient(peer.addr, "application/json", keep=8)
         self.heard = -1e9
-        self.knocks: list[str] = []
+        self.knocks: dict[str, tuple[int, int]] = {}
+        self.leads = False
 
 
 class Peers:
@@ -35,12 +36,15 @@
         self.views = {peer.name: PeerView(peer) for peer in peers}
         self.handle = handle
         self.loop = asyncio.get_running_loop()
-        self.knocked: dict[str, float] = {}  # worker -> when we last turned it away
+        # Worker -> session and sequence number of its latest report here, and when it came.
+        self.knocked: dict[str, tuple[tuple[int, int], float]] = {}
+        self.leads: Callable[[], bool] = lambda: False
 
     # --- serving -------------------------------------------------------------
     async def serve(self, request: Request) -> Response:
         if request.method == "GET" and request.path == "/ping":
-            return json_response(200, {"knocks": self.knocking(self.loop.time())})
+            knocks = self.knocking(self.loop.time())
+            return json_response(200, {"knocks": knocks, "leads": self.leads()})
         if request.method == "POST" and request.path == "/forward":
             try:
                 message = orjson.loads(request.body)
@@ -52,13 +56,19 @@
             return json_response(status, value)
         return json_response(404, None)
 
-    def knock(self, worker: str, now: float) -> None:
-        self.knocked[worker] = now
+    def knock(self, worker: str, order: tuple[int, int], now: float) -> None:
+        """We turn a worker's report away. A late copy of an older one is no news."""
+        known = self.knocked.get(worker)
+        if known is None or order > known[0]:
+            self.knocked[worker] = (order, now)
 
-    def knocking(self, now: float) -> list[str]:
-        """Workers that we have turned away lately."""
-        self.knocked = {w: at for w, at in self.knocked.items() if now - at < c.KNOCK_S}
-        return list(self.knocked)[-c.KNOCK_NAMES :]
+    def knocking(self, now: float) -> dict[str, tuple[int, int]]:
+        """Workers that we have turned away lately, with their latest report's number."""
+        for worker, (_, at) in list(self.knocked.items()):
+            if now - at > c.KNOCK_MEMORY_S:
+                del self.knocked[worker]
+        fresh = [(w, order) for w, (order, at) in self.knocked.items() if now - at < c.KNOCK_S]
+        return dict(fresh[-c.KNOCK_NAMES :])
 
     # --- asking --------------------------------------------------------------
     async def forward(self, name: str, message: dict[str, Any], timeout: float) -> tuple[int, Any]:
@@ -81,18 +91,28 @@
     async def _ping(self, view: PeerView) -> None:
         try:
             _, raw = await view.client.request("GET", "/ping", b"", c.PING_S)
-            view.knocks = [str(name) for name in orjson.loads(raw)["knocks"]]
+            told = orjson.loads(raw)
+            view.knocks = {str(k): (int(a), int(b)) for k, (a, b) in told["knocks"].items()}
+            view.leads = bool(told["leads"])
             view.heard = self.loop.time()
-        except (NoAnswerError, ValueError, KeyError, TypeError):
-            view.knocks = []
+        except (NoAnswerError, ValueError, KeyError, TypeError, AttributeError):
+            view.knocks, view.leads = {}, False
 
     def heard_any(self, now: float, within: float) -> bool:
         return any(now - view.heard < within for view in self.views.values())
 
-    def knocking_elsewhere(self, now: float) -> set[str]:
+    def leading(self) -> str | None:
+        """The peer that has lately said that it leads."""
+        return next((v.peer.name for v in self.views.values() if v.leads), None)
+
+    def knocking_elsewhere(self, now: float) -> dict[str, tuple[int, int]]:
         """Workers that are alive, since they have reached another controller."""
-        fresh = [view.knocks for view in self.views.values() if now - view.heard < 3 * c.PING_S]
-        return {name for knocks in fresh for name in knocks}
+        found: dict[str, tuple[int, int]] = {}
+        for view in self.views.values():
+            if now - view.heard < 3 * c.PING_S:
+                for name, order in view.knocks.items():
+                    found[name] = max(order, found.get(name, (0, -1)))
+        return found
 
 
 def json_response(status: int, value: Any) -> Response:
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -147,6 +147,7 @@
 
 class JobView:
     __slots__ = (
+        "aged",
         "avoid",
         "covered",
         "fetch_s",
@@ -170,6 +171,7 @@
         urgent: bool = True,
         avoid: Iterable[str] = (),
         fetch_s: float = 0.0,
+        aged: bool = False,
     ) -> None:
         self.spec = spec
         self.todo = todo
@@ -179,6 +181,7 @@
         self.fetch_s = fetch_s  # about what a machine without the image loses
         self.avoid = frozenset(avoid)  # machines on which it failed
         self.urgent = urgent  # an aim is lost unless it starts soon: worth stopping others
+        self.aged = aged  # has waited so long that nothing may go before it any more
         self.lingering = lingering  # a gang with attempts that are not gone yet
 
 
@@ -277,6 +280,8 @@
     # Small jobs go before large ones of about the same urgency: when not all can be in
     # time, more of them are.
     start = job.latest_start + c.EFFORT_WEIGHT * effort(job, totals)
+    if job.aged:
+        return (-1, spec.submitted)
     return (spec.priority, not job.covered, not spec.gang, start, spec.submitted)
 
 
@@ -354,14 +359,17 @@
                 wanted = min(wanted, int((limit - used + EPS) / need))
         return max(0, wanted)
 
+    def use(self, spec: JobSpec, count: int) -> None:
+        use = self.usage.setdefault(spec.team, [0.0, 0.0])
+        use[0] += spec.cpus * count
+        use[1] += spec.gpus * count
+
     def start(self, job: JobView, machine: MachineView, count: int) -> None:
         spec = job.spec
         self.plan.starts.append(Start(spec.id, machine.name, count))
         self._take(machine, spec, count)
         machine.look().pulling.add(spec.image)
-        use = self.usage.setdefault(spec.team, [0.0, 0.0])
-        use[0] += spec.cpus * count
-        use[1] += spec.gpus * count
+        self.use(spec, count)
         job.running_zones[machine.zone] = job.running_zones.get(machine.zone, 0) + count
         job.todo -= count
 
@@ -417,6 +425,9 @@
             if job.lingering:
                 return
             if self.within_limit(spec, spec.tasks) < spec.tasks:
+                if job.aged:
+                    # What its team's smaller jobs give back is not for the next of them.
+                    self.use(spec, spec.tasks)
                 return
             if self.wait_for_image(job, spec.tasks):
                 return
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -173,12 +173,7 @@
 
     def _usable(self, machine: Machine, now: float) -> bool:
         silent = self.workers.silence(machine, now)
-        return (
-            machine.phase is MachinePhase.UP
-            and machine.confirmed
-            and machine.cpus > 0
-            and silent < c.SUSPECT_REPORTS * self.params.workers.report_s
-        )
+        return machine.usable and machine.cpus > 0 and silent < self.workers.suspect_s()
 
     def _covered(self) -> set[str]:
         """Jobs that fit into their team's guarantee with the team's earlier unfinished ones."""
@@ -209,6 +204,7 @@
                 zone = self.books.machines[attempt.machine].zone
                 zones[zone] = zones.get(zone, 0) + 1
         latest = latest_start(job.spec, self.params.objectives, wall, 0.0)
+        aged = not job.attempts and now - job.idle_since > c.AGED_S
         return JobView(
             job.spec,
             len(job.todo),
@@ -216,7 +212,8 @@
             latest,
             zones,
             lingering=job.spec.gang and bool(job.attempts),
-            urgent=latest - wall < c.URGENT_S,
+            urgent=aged or latest - wall < c.URGENT_S,
+            aged=aged,
             avoid=self._avoid(job),
             fetch_s=self._fetch_s(job.spec),
         )
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -77,6 +77,7 @@
         self.requests = Budget(limits.rps * self._share(c.LEADER_RPS_SHARE, False))
         self.writes = Budget(limits.write_rps * self._share(c.LEADER_WRITE_SHARE, False))
         self.last_good = -1e9
+        self.failing = False  # the latest request was not answered, or refused
 
     def set_leading(self, leading: bool) -> None:
         now = self.loop.time()
@@ -111,10 +112,13 @@
         try:
             status, raw = await (http or self.http).request(method, path, data, timeout)
         except NoAnswerError as exc:
+            self.failing = True
             raise (StoreDoubtError if exc.sent else StoreError)(str(exc)) from None
         if status in (429, 503):
+            self.failing = status == 503
             raise StoreError(f"state service: {status}")
         self.last_good = self.loop.time()
+        self.failing = False
         try:
             return status, body.cbor_any(raw)
         except Exception as exc:
--- a/peathall/workers/model.py
+++ b/peathall/workers/model.py
@@ -21,10 +21,14 @@
 class Machine:
     __slots__ = (
         "addr",
+        "answered",
         "attempts",
         "born",
+        "came",
+        "checked",
         "confirmed",
         "cpus",
+        "deaf_since",
         "failed_jobs",
         "free_cpus",
         "free_gpus",
@@ -43,6 +47,7 @@
         "spot",
         "taken_at",
         "type",
+        "vouched",
         "why_draining",
         "zone",
     )
@@ -58,10 +63,15 @@
         self.free_cpus = self.free_gpus = self.free_ram = 0.0
         self.session = 0
         self.seq = -1
+        self.checked = (0, -1)  # session and sequence number of its latest check-in
+        self.answered = (0, 0.0)  # token and steady time of our latest answer
+        self.deaf_since: float | None = None  # when we gave an answer that it did not get
         self.confirmed = False  # has reported under this term's mandate
         self.last_answer = 0.0  # steady time of our last answer, which renewed its lease
         self.last_heard = 0.0
         self.born = 0.0  # steady time of renting, or of first hearing of it
+        self.came = 0.0  # steady time of its first report to us
+        self.vouched = False  # the cloud has named it in this term
         self.listed_at = 0.0  # steady time at which the cloud last listed it
         self.taken_at: float | None = None  # when the cloud takes it back
         self.idle_since = 0.0
@@ -81,6 +91,11 @@
         self.phase = phase
         return True
 
+    @property
+    def usable(self) -> bool:
+        """Takes new work: known to get our orders. A report proves only that we hear it."""
+        return self.phase is MachinePhase.UP and self.confirmed and self.deaf_since is None
+
     def set_size(self, size: MachineType) -> None:
         dc, dg, dr = size.cpus - self.cpus, size.gpus - self.gpus, size.ram - self.ram
         self.cpus, self.gpus, self.ram = size.cpus, size.gpus, size.ram
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -63,14 +63,13 @@
         # The mandate under which a start was sent directly; such a start may be
         # executed late until the worker has seen a higher one.
         self.direct: dict[Attempt, int] = {}
-        self.direct_used = False
         self.exits: dict[str, list[Exits]] = {}
         self.strays: dict[str, list[tuple[str, int, int]]] = {}  # tasks that nobody asked for
         self.couriers: dict[str, asyncio.Task[None]] = {}
         self.lines = lines  # direct connections at once
         self.turn = asyncio.Semaphore(lines)
         self.clients: OrderedDict[str, HttpClient] = OrderedDict()  # least lately used first
-        self.last_checkin = now
+        self.elsewhere: Callable[[], dict[str, tuple[int, int]]] = dict
         self.on_images: Callable[[Machine], None] = lambda machine: None
         self.on_confirmed: Callable[[Machine], None] = lambda machine: None
         self.on_notice: Callable[[Machine, float], None] = lambda machine, now: None
@@ -92,42 +91,89 @@
     def silence(self, machine: Machine, now: float) -> float:
         return now - machine.last_heard
 
+    def suspect_s(self) -> float:
+        """So long after a machine's last report it takes no new work."""
+        return min(
+            c.SUSPECT_REPORTS * self.settings.report_s, c.SUSPECT_LEASE * self.settings.lease_s
+        )
+
+    def lost_s(self) -> float:
+        """So long after it, deleting the machine frees its tasks well before its lease does."""
+        return min(c.LOST_REPORTS * self.settings.report_s, c.LOST_LEASE * self.settings.lease_s)
+
+    def unreached_s(self) -> float:
+        """Two missed reports: by then every machine would have been heard."""
+        return 2 * self.settings.report_s + c.TICK_S
+
+    def knocks(self, machine: Machine) -> bool:
+        """Whether it has lately sent another controller a report newer than all we had. A
+        late copy of an old report is no sign of life."""
+        return self.elsewhere().get(machine.name, (0, -1)) > machine.checked
+
+    def out_of_reach(self, now: float) -> bool:
+        """Most machines are alive, but don't hear us or are not heard: our own trouble."""
+        up = [m for m in self.books.machines.values() if m.phase is MachinePhase.UP]
+        lost = [
+            m for m in up if m.deaf_since is not None or self.silence(m, now) > self.unreached_s()
+        ]
+        return len(lost) > c.OUT_OF_REACH_SHARE * len(up) and any(self.knocks(m) for m in lost)
+
     # --- check-ins -----------------------------------------------------------
     def checkin(self, report: Report, now: float) -> tuple[int, dict[str, Any] | None]:
-        self.last_checkin = now
         if report.machine in self.books.deleted:
             # A late copy from a machine that no longer exists.
             return 503, None
-        machine = self.books.machine(
+        known = self.books.machines.get(report.machine)
+        order = (report.session, report.seq)
+        if known is not None and (order <= known.checked or report.session < known.session):
+            # A copy, or of an ended session: it says nothing, and gets no answer that
+            # would seem to renew a lease.
+            return 503, None
+        machine = known or self.books.machine(
             report.machine, report.type, report.zone, report.spot, MachinePhase.UP, now
         )
-        if report.session < machine.session:
-            return 503, None
-        fresh = (report.session, report.seq) > (machine.session, machine.seq)
-        if fresh:
+        if machine.checked == (0, -1):
+            machine.came = machine.idle_since = now
+        machine.checked = order
+        if report.token >= machine.answered[0]:
+            if machine.deaf_since is not None:
+                log.info("machine %s hears us again", machine.name)
+                self.on_change()
+            machine.deaf_since = None
+        elif machine.deaf_since is None:
+            # It reports, yet has not seen the answer to its report before: what goes out
+            # to it may be lost altogether. No new work until it proves to have heard us.
+            machine.deaf_since = machine.answered[1]
+            log.info("machine %s did not get our last answer", machine.name)
+        if order > (machine.session, machine.seq):
             self._apply(machine, report, now, conclusive=True)
+            if not machine.confirmed and report.token >= self.base:
+                machine.confirmed = True
+                self.on_confirmed(machine)
+                log.info("machine %s confirmed, %d tasks", machine.name, len(machine.attempts))
+                self.on_change()
         # A check-in overtaken by a direct answer is still answered, but tells nothing.
         machine.last_answer = now
-        if fresh and not machine.confirmed and report.token >= self.base:
-            machine.confirmed = True
-            self.on_confirmed(machine)
-            log.info("machine %s confirmed, %d tasks", machine.name, len(machine.attempts))
-            self.on_change()
+        machine.answered = (self.token, now)
         return 200, names.checkin_answer(self.token, self._orders(machine, now, direct=False))
 
     def _apply(self, machine: Machine, report: Report, now: float, conclusive: bool) -> None:
         if machine.phase in (MachinePhase.BOOTING, MachinePhase.UNHEARD):
             log.info("machine %s (%s, %s) is up", machine.name, machine.type, machine.zone)
             machine.enter(MachinePhase.UP)
-            machine.idle_since = now
             self.on_change()
         if report.addr:
             machine.addr = report.addr
         if report.session > machine.session:
-            # The worker's lease ended: it killed all its tasks and forgot them.
-            if machine.session and machine.attempts:
-                log.info("machine %s lost its lease", machine.name)
-                self._lost(self.books.release_all(machine, now), now)
+            # The worker's lease ended: it killed all its tasks and forgot them. That says
+            # nothing of attempts whose session is not known: after a take-over, a late copy
+            # of an old report may have come first.
+            ended = [a for a in machine.attempts.values() if 0 < a.session < report.session]
+            if ended:
+                log.info("machine %s lost its lease, %d tasks lost", machine.name, len(ended))
+                for lost in ended:
+                    self.books.release(lost, now)
+                self._lost(ended, now)
             self.exits.pop(machine.name, None)
         machine.session, machine.seq = report.session, report.seq
         machine.last_heard = now
@@ -168,6 +214,7 @@
         if attempt.phase in (AttemptPhase.PLANNED, AttemptPhase.GONE):
             return
         before = attempt.phase
+        attempt.session = machine.session
         attempt.enter(PHASE_OF[item.state], now)
         if before is not attempt.phase:
             log.debug(
@@ -301,6 +348,7 @@
     def _orders(self, machine: Machine, now: float, direct: bool) -> list[dict[str, Any]]:
         orders: list[dict[str, Any]] = []
         usable = machine.confirmed and machine.phase in (MachinePhase.UP, MachinePhase.DRAINING)
+        usable = usable and machine.deaf_since is None
         for (job_id, task), attempt in machine.attempts.items():
             if attempt.phase in (AttemptPhase.PLANNED, AttemptPhase.GONE):
                 continue
@@ -311,9 +359,9 @@
             ):
                 orders.append(names.start_order(job_id, task, attempt.number))
                 attempt.enter(AttemptPhase.SENT, now)
+                attempt.session = machine.session
                 if direct:
                     self.direct[attempt] = self.token
-                    self.direct_used = True
         if not direct:
             for known in self.exits.get(machine.name, ()):
                 job = self.books.jobs.get(known.job)
@@ -322,10 +370,8 @@
                     stored = known.task in job.stored
                 if not stored:
                     continue
-                if known.direct_token < self.token:
+                if known.direct_token < self.token:  # else the next tick raises the mandate
                     orders.append(names.forget_order(known.job, known.task, known.number))
-                else:
-                    self.direct_used = True  # the next tick raises the mandate
             orders += [names.stop_order(*stray, 0.0) for stray in self.strays.get(machine.name, ())]
         return orders
 
@@ -373,9 +419,9 @@
 
     # --- time ----------------------------------------------------------------
     def tick(self, now: float) -> None:
-        if self.direct_used:
-            self.direct_used = False
-            self.counter += 1
+        # Raised every second: late direct starts are refused from then on, and the token
+        # that a report shows tells which of our answers the worker has had.
+        self.counter += 1
         for machine in list(self.books.machines.values()):
             if not machine.attempts and machine.phase is not MachinePhase.UNHEARD:
                 continue
--- a/tests/sim/state.py
+++ b/tests/sim/state.py
@@ -21,6 +21,7 @@
         self.changed = asyncio.Event()
         self.next_lease = 0
         self.down_until = -1.0
+        self.copies = 0.0  # share of requests of which a late copy is carried out once more
         self.lossy = 0.0  # share of commits without an answer; half of them are applied late
 
     @property
@@ -80,6 +81,18 @@
                 self.drop(op["drop"])
         return body.cbor_response(200, {"epoch": self.revision})
 
+    def again(self, method: str, path: str, raw: Any) -> None:
+        """A late copy of a request that was carried out."""
+        if self.down:
+            return
+        if path == "/commit":
+            self.commit(raw)
+        elif method == "DELETE":
+            self.end(int(path.split("/")[2]))
+        elif path.endswith("/renew") and (lease := int(path.split("/")[2])) in self.leases:
+            ttl = self.leases[lease][0]
+            self.leases[lease] = (ttl, self.loop.now + ttl)
+
     async def handle(self, request: Request) -> Response:
         await asyncio.sleep(self.loop.rng.random() * 0.01)
         path, query = request.path, {k: v[0] for k, v in parse_qs(request.query).items()}
@@ -88,6 +101,9 @@
         if self.down:
             return body.cbor_response(503, {})
         raw = body.cbor_any(request.body)
+        if request.method != "GET" and self.loop.rng.random() < self.copies:
+            delay = 0.5 + 30 * self.loop.rng.random()
+            self.loop.call_later(delay, self.again, request.method, path, raw)
         if path == "/commit":
             if self.loop.rng.random() < self.lossy:
                 if self.loop.rng.random() < 0.5:
--- a/tests/sim/test_days.py
+++ b/tests/sim/test_days.py
@@ -119,6 +119,7 @@
         kind = rng.choice(kinds)
         await asyncio.sleep(rng.uniform(1, 9))
         leader = world.leader()
+        world.troubled_until = max(world.troubled_until, loop.now + 40.0)
         if kind == "crash_leader" and leader is not None:
             world.crash_node(leader, rng.choice([0.2, 3.0]))
         elif kind == "crash_all":
@@ -151,6 +152,24 @@
         elif kind == "cut_workers" and leader is not None:
             ips = [w.host.ip for w in world.workers.values()]
             cut(world, [(f"10.0.0.{leader + 1}", ip) for ip in ips], rng.uniform(8, 25))
+        elif kind == "deaf" and world.workers:  # reports arrive, answers and commands don't
+            victim = rng.choice(list(world.workers.values()))
+            mute(world, [(f"10.0.0.{i}", victim.host.ip) for i in (1, 2, 3)], rng.uniform(10, 40))
+        elif kind == "deaf_leader" and leader is not None:
+            ips = [w.host.ip for w in world.workers.values()]
+            mute(world, [(f"10.0.0.{leader + 1}", ip) for ip in ips], rng.uniform(15, 30))
+        elif kind == "copies":
+            world.copies = world.state.copies = 0.3
+        elif kind == "isolate" and leader is not None:  # the leader, from all but its workers
+            ip = f"10.0.0.{leader + 1}"
+            others = ["10.2.0.1", *(f"10.0.0.{i}" for i in (1, 2, 3))]
+            cut(world, [(ip, other) for other in others if other != ip], rng.uniform(5, 30))
+        elif kind == "flap":  # back at once, also in the middle of an election
+            for index in range(3):
+                world.crash_node(index, rng.uniform(0.02, 0.3))
+            for _ in range(3):
+                await asyncio.sleep(rng.uniform(0.05, 4.0))
+                world.crash_node(rng.randrange(3), rng.uniform(0.02, 0.3))
         elif kind == "cut_peers":
             cut(world, [("10.0.0.1", "10.0.0.2"), ("10.0.0.2", "10.0.0.3")], rng.uniform(3, 15))
 
@@ -161,6 +180,11 @@
     world.loop.call_later(seconds, world.loop.held.difference_update, links)
 
 
+def mute(world: World, ways: list[tuple[str, str]], seconds: float) -> None:
+    world.loop.one_way |= set(ways)
+    world.loop.call_later(seconds, world.loop.one_way.difference_update, ways)
+
+
 async def day(world: World, kinds: list[str]) -> None:
     await world.begin()
     troubles = asyncio.create_task(trouble(world, kinds, 100.0)) if kinds else None
@@ -178,6 +202,7 @@
     ]
     for task in waiting:
         await task
+    world.check_served()
 
 
 CRASHES = ["crash_leader", "crash_all"]
@@ -185,6 +210,9 @@
 CUTS = ["cut_worker", "cut_node", "cut_state", "cut_workers", "cut_peers"]
 MACHINES = ["die", "sick", "cloud", "cut_worker"]
 SPOT = ["notice", "crash_leader", "notice", "cut_worker"]
+ONE_WAY = ["deaf", "deaf_leader", "cut_worker"]
+COPIES = ["copies", "crash_leader", "cut_worker", "deaf", "die"]
+FLAPS = ["flap", "isolate", "copies"]
 
 
 @pytest.mark.parametrize(
@@ -200,6 +228,11 @@
         (8, ["lossy", "crash_all"]),
         (10, SPOT),
         (11, SPOT + STORE),
+        (12, ONE_WAY),
+        (13, COPIES),
+        (14, FLAPS),
+        (15, ["isolate", "deaf_leader", "outage"]),
+        (16, CRASHES + STORE + CUTS + MACHINES + ONE_WAY + COPIES + FLAPS),
         # Days on which something was found broken, with what had failed:
         (123, ["cut_node", "cut_state", "lossy"]),  # queued told while `done` was on its way
         (124, ["cut_node", "cut_state", "lossy"]),  # a doubtful commit taken for a carried-out one
@@ -214,3 +247,33 @@
         loop.run_until_complete(day(world, kinds))
         assert world.broken == []
         assert world.starts > 20
+
+
+def test_the_largest_gang_begins_within_four_minutes_under_steady_smaller_work() -> None:
+    """More small gangs than there is room for, each more urgent than a gang of half the fleet."""
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+
+    def gang(number: int, size: int, class_name: str) -> dict[str, Any]:
+        return draw_job(random.Random(number), number) | {
+            "docket": class_name, "desk": "blue", "shape": "ensemble", "precedence": "high",
+            "parcels": size, "vcpus": 2.0, "cards": 0.0, "ram_gb": 100.0, "builds": ["big"],
+            "ward": None, "together": True, "scatter": False, "standby": True,
+            "kit": "img-0", "run_s": 20.0, "reckon_s": 15.0,
+        }  # fmt: skip
+
+    with virtual(5) as loop:
+        world = World(loop, 5, [node_settings(i) for i in range(3)])
+
+        async def steady() -> None:
+            await world.begin()
+            for number in range(1, 280):
+                job = gang(number, 5, "c1") if number == 30 else gang(number, 1, "c0")
+                if "j-000030" in world.begun:
+                    break
+                context = world.context(Host(f"10.9.0.{number}"))
+                loop.create_task(world.user(job, None), context=context)
+                await asyncio.sleep(1.0)
+
+        loop.run_until_complete(steady())
+        assert world.broken == []
+        assert world.begun["j-000030"] - world.submitted["j-000030"] < 240
--- /dev/null
+++ b/tests/unit/test_workers.py
@@ -0,0 +1,141 @@
+"""What reports prove and what they don't: deaf machines, late copies, sessions."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from peathall.books import Books
+from peathall.jobs.model import Attempt, AttemptPhase, Job
+from peathall.leadership.lease import first_attempt, token
+from peathall.peers.service import Peers
+from peathall.settings import Peer, WorkerSettings
+from peathall.wire.names import MachineType, Report, TaskReport, TaskState
+from peathall.workers.model import Machine, MachinePhase
+from peathall.workers.service import Workers
+from tests.unit.test_planner import spec
+
+KIND = MachineType("g", 8.0, 0.0, 16.0, 50.0, 1.0, 10.0, 3.0, 30.0, ["a"])
+TERM = 5
+
+
+def report(session: int, seq: int, seen: int, tasks: list[TaskReport] | None = None) -> Report:
+    return Report("m-1", "10.1.0.1:9", "g", "a", False, session, seq, seen, None, tasks or [])
+
+
+def running(attempt: Attempt) -> TaskReport:
+    return TaskReport(attempt.job.spec.id, 0, attempt.number, TaskState.RUNNING, None, False)
+
+
+def play(test: Callable[[Workers], None]) -> None:
+    async def run() -> None:
+        books = Books(TERM, first_attempt(TERM))
+        books.types = {"g": KIND}
+        settings = WorkerSettings(5.0, 24.0, 40.0, 4.0, 40.0)
+        test(Workers(books, settings, 0.0, lambda: True, lambda job: None, lambda: None, 9))
+
+    asyncio.run(run())
+
+
+def known(workers: Workers) -> Machine:
+    """A machine that has reported twice and shown our token."""
+    workers.checkin(report(1, 1, 0), 1.0)
+    workers.tick(2.0)
+    workers.checkin(report(1, 2, workers.base), 6.0)
+    return workers.books.machines["m-1"]
+
+
+def booked(workers: Workers, number: int) -> Attempt:
+    job = workers.books.jobs["j-1"] = Job(spec(id="j-1"))
+    machine = workers.books.machine("m-1", "g", "a", False, MachinePhase.UNHEARD, 0.0)
+    attempt = workers.books.book(job, 0, number, machine, "round/1")
+    attempt.enter(AttemptPhase.SENT, 0.0)
+    return attempt
+
+
+def test_a_machine_that_reports_but_gets_nothing_takes_no_new_work() -> None:
+    def test(workers: Workers) -> None:
+        machine = known(workers)
+        assert machine.usable
+        workers.tick(7.0)
+        assert workers.checkin(report(1, 3, workers.token - 1), 11.0)[0] == 200
+        assert machine.usable  # it has seen the answer to its last report
+        answered = workers.token
+        workers.tick(12.0)
+        workers.checkin(report(1, 4, answered - 1), 17.0)
+        assert not machine.usable
+        assert machine.deaf_since == 11.0
+        # Its session rises, since its lease ended; that alone makes it no better.
+        workers.checkin(report(2, 5, answered - 1), 35.0)
+        assert not machine.usable
+        workers.tick(36.0)
+        workers.checkin(report(2, 6, workers.token), 40.0)
+        assert machine.usable
+
+    play(test)
+
+
+def test_when_most_machines_are_deaf_it_is_our_own_trouble() -> None:
+    def test(workers: Workers) -> None:
+        machine = known(workers)
+        workers.tick(7.0)
+        workers.elsewhere = lambda: {"m-1": (1, 3)}
+        assert not workers.out_of_reach(7.0)
+        workers.checkin(report(1, 4, 0), 8.0)
+        assert machine.deaf_since == 6.0
+        assert not workers.out_of_reach(8.0)  # what it sent elsewhere was before that
+        workers.elsewhere = lambda: {"m-1": (1, 5)}
+        assert workers.out_of_reach(8.0)
+
+    play(test)
+
+
+def test_a_late_copy_is_no_answer_and_no_sign_of_life() -> None:
+    def test(workers: Workers) -> None:
+        machine = known(workers)
+        attempt = booked(workers, workers.books.new_attempt_number())
+        workers.checkin(report(1, 3, workers.token, [running(attempt)]), 10.0)
+        for copy in (report(1, 2, workers.token), report(1, 3, workers.token), report(0, 9, 0)):
+            assert workers.checkin(copy, 30.0) == (503, None)
+        assert (machine.last_answer, machine.last_heard) == (10.0, 10.0)
+        assert attempt.phase is AttemptPhase.RUNNING
+        workers.tick(10.0 + workers.lapse_s() + 0.1)
+        assert attempt.phase is AttemptPhase.GONE
+        workers.machine_gone(machine, 40.0, "deleted")
+        assert workers.checkin(report(1, 9, workers.token), 41.0) == (503, None)
+        assert not workers.books.machines
+
+    play(test)
+
+
+def test_a_copy_of_an_ended_session_that_comes_first_frees_nothing() -> None:
+    """After a take-over there is nothing to compare it with; the real report follows."""
+
+    def test(workers: Workers) -> None:
+        attempt = booked(workers, first_attempt(TERM - 1) + 1)  # ran in session 2 all along
+        workers.checkin(report(1, 9, token(TERM - 1, 3)), 1.0)
+        assert attempt.phase is AttemptPhase.SENT
+        workers.checkin(report(2, 12, token(TERM - 1, 8), [running(attempt)]), 2.0)
+        assert attempt.phase is AttemptPhase.RUNNING
+        # Seen in session 2, it is gone in session 3, whatever token that shows.
+        workers.checkin(report(3, 20, token(TERM - 1, 8)), 30.0)
+        assert attempt.phase is AttemptPhase.GONE
+
+    play(test)
+
+
+def test_a_copy_of_a_report_is_no_knock() -> None:
+    async def run() -> None:
+        async def handle(message: dict[str, object]) -> tuple[int, object]:
+            return 200, None
+
+        peers = Peers([Peer("hall-1", "a", "10.0.0.2:1")], handle)
+        peers.knock("m-1", (1, 7), 0.0)
+        assert peers.knocking(1.0) == {"m-1": (1, 7)}
+        peers.knock("m-1", (1, 7), 20.0)
+        peers.knock("m-1", (1, 5), 20.0)
+        assert peers.knocking(21.0) == {}
+        peers.knock("m-1", (2, 1), 22.0)
+        assert peers.knocking(23.0) == {"m-1": (2, 1)}
+
+    asyncio.run(run())
