--- a/tests/sim/test_days.py
+++ b/tests/sim/test_days.py
@@ -9,9 +9,11 @@
 from collections.abc import Iterator
 from typing import Any
 
+import cbor2
 import pytest
 
 from peathall import settings
+from peathall.wire.http import HttpClient
 from tests.sim.net import Host, VirtualLoop
 from tests.sim.world import World
 
@@ -277,3 +279,36 @@
         loop.run_until_complete(steady())
         assert world.broken == []
         assert world.begun["j-000030"] - world.submitted["j-000030"] < 240
+
+
+@pytest.mark.parametrize("leads", [True, False])
+def test_a_controller_that_reaches_only_workers_and_users_lets_them_go(leads: bool) -> None:
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual(9) as loop:
+        world = World(loop, 9, [node_settings(i) for i in range(3)])
+
+        async def play() -> None:
+            await world.begin()
+            await asyncio.sleep(10)
+            leader = world.leader()
+            assert leader is not None
+            index = leader if leads else (leader + 1) % 3
+            ip = f"10.0.0.{index + 1}"
+            others = {"10.2.0.1", "10.0.0.1", "10.0.0.2", "10.0.0.3"} - {ip}
+            cut(world, [(ip, other) for other in others], 60.0)
+            await asyncio.sleep(9)
+            client = HttpClient(f"{ip}:8080", keep=1)
+            assert (await client.request("GET", "/healthz"))[0] == 503
+            report = {"hall": "m-000001", "tenure": 1, "tick": 1, "parcels": []}
+            raw = cbor2.dumps(report)
+            status, answer = await client.request("POST", "/checkin", raw)
+            assert (status, "steward" in cbor2.loads(answer)) in [(421, False), (503, False)]
+            assert len(client.idle) == 1  # the worker goes by itself
+            assert (await client.request("GET", "/work/j-000001"))[0] == 503
+            assert client.idle == []  # the user's connection was closed with the answer
+            await asyncio.sleep(60)
+            assert (await client.request("GET", "/healthz"))[0] == 200
+            assert (await client.request("GET", "/work/j-000001"))[0] == 404
+
+        context = world.context(Host("10.9.0.1"))
+        loop.run_until_complete(loop.create_task(play(), context=context))
