Fleets: cloud calls side by side, full batches, names without bound, cheaper check-ins

Unchanged parts of reports are not taken apart again; victims are listed only if somebody may be stopped; one log line a job. Also found by reading for bounds: a ping named 500 knocking workers at most, so others looked silent; a deletion could carry 120 names and be refused for ever; rentals went one by one, 50 machines a step, behind the list; after a take-over a listed machine was judged by its age and deleted as one that never came up; a leader that stood still blamed the machines for it. Callers over the sockets' limit were thrown out in turn: check-ins now close when it is crowded.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -90,6 +90,7 @@
 
 
 if __name__ == "__main__":
-    for size in ((30, 40, 30), (48, 80, 30), (218, 80, 30), (456, 120, 100), (456, 300, 150)):
+    for size in ((48, 80, 30), (456, 120, 100), (645, 140, 25), (970, 210, 25), (900, 400, 150)):
         asyncio.run(measure(*size))
-    asyncio.run(measure(456, 300, 150, aged=True))
+    for size in ((456, 300, 150), (970, 210, 25), (900, 400, 150)):
+        asyncio.run(measure(*size, aged=True))
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -9,7 +9,8 @@
 IDLE_CONNECTION_S = 40.0  # s; users poll every 5 s and workers every 3 s: longer is abandoned
 SLOW_REQUEST_S = 10.0  # s; a request that takes longer to arrive is a slow or broken client
 SWEEP_S = 5.0  # s; how often idle and slow connections are looked for (one timer for all)
-CALLER_SHARE = 0.7  # of the socket limit: workers and users that call us
+CALLER_SHARE = 0.75  # of the socket limit: workers and users that call us
+CROWDED = 0.85  # of what callers may have: from here on workers' connections close with the answer
 PEER_SHARE = 0.1  # of the socket limit: other controllers that call us
 DIRECT_SHARE = 0.1  # of the socket limit: direct orders to workers; the rest is for other calls
 CONNECT_S = 1.0  # s; connections behind a cut hang without an error
@@ -40,6 +41,7 @@
 TICK_S = 1.0  # s; how often leases are checked; room returns at most this much late
 SUSPECT_REPORTS = 3.0  # missed report intervals; no new work goes to such a machine (DESIGN)
 SUSPECT_LEASE = 0.5  # of the lease, if that is less: reports may be long apart
+STALL_S = 3.0  # s; ticks further apart than this mean that we could not attend to anyone
 LOST_REPORTS = 5.0  # missed report intervals; then deleting it frees its tasks before its lease
 LOST_LEASE = 0.6  # of the lease, if that is less: later, the lease would end as soon
 OUT_OF_REACH_SHARE = 0.5  # of the machines neither heard nor hearing us: another should lead
@@ -55,6 +57,7 @@
 ERROR_BACKOFF_MAX_S = 60.0  # s; a mistaken job stays until its user cancels it
 SAVE_GRACE_S = 3.0  # s; added to the time that a task needs to save
 FORGET_CACHES_S = 60.0  # s; after a take-over every living machine has reported or is listed
+KNOWN_TASK_REPORTS = 30_000  # sentences of reports that are recognised, some 300 bytes each
 DIRECT_TIMEOUT_S = 2.0  # s; a direct order without an answer is repeated by the next check-in
 
 # --- placement --------------------------------------------------------------
@@ -87,9 +90,11 @@
 UNLISTED_LAGS = 8.0  # list lags; a machine that reports no more and is unlisted so long is gone
 QUIET_HOLD_S = 4.0  # s; the same once no job has arrived for a boot time
 TAKEN_S = 1.0  # s; after the time that a spot notice gave
-SAMPLE_S = 2.0  # s; between looks at what all machines are doing, for those lines
+SAMPLE_S = 10.0  # s; between looks at what all machines are doing, for those lines
 ACCOUNT_S = 30.0  # s; between lines that tell where the machines' time went
 GUARANTEED_HOLD_S = 300.0  # s; idle machines are kept so long where teams have guarantees
+MAKE_WAY = 4  # idle machines returned for a job whose machines the cloud refuses
+MAKE_WAY_S = 100.0  # s; between such returns: time enough to see whether it helped
 IDLE_BOOTS = 1.0  # times startup_s; elsewhere: about what booting and fetching anew would cost
 
 # --- peers ------------------------------------------------------------------
@@ -103,5 +108,4 @@
 PING_S = 1.5  # s; between looks at each peer
 KNOCK_S = 6.0  # s; check-ins that a follower turned away count as knocks for this long
 KNOCK_MEMORY_S = 120.0  # s; late copies of a worker's reports are told from news for this long
-KNOCK_NAMES = 500  # names in one answer to a ping, so that it stays small
 YOUNG_S = 6.0  # s; a controller that has just started calls itself healthy
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -5,14 +5,14 @@
 import asyncio
 import logging
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 from urllib.parse import quote
 
 from peathall import constants as c
 from peathall.books import Books
 from peathall.fleet.account import Account
-from peathall.fleet.planner import Bin, Offer, all_offers, plan_rentals
+from peathall.fleet.planner import Bin, Offer, all_offers, plan_rentals, suits
 from peathall.jobs.model import JobPhase
 from peathall.placement.planner import JobView
 from peathall.settings import CloudSettings, Params, WorkerSettings
@@ -123,6 +123,7 @@
         self.short: list[tuple[JobView, int]] = []
         self.leftover: dict[str, list[float]] = {}  # room that the last round left free
         self.unsure: list[tuple[str, Offer, int]] = []  # rentals without an answer
+        self.made_way_at = -1e9
         self.failed: list[str] = []  # stopped by themselves; to be taken off the list
         self.account = Account()
         self.accounted = self.reported = self.loop.time()
@@ -158,16 +159,26 @@
         self.wake.set()
 
     async def run(self) -> None:
+        """Looking, returning and renting go on side by side and share the cloud's calls: a
+        slow answer to one must not hold up the others."""
+        rest = asyncio.Event()  # never set: these two only follow the clock
+        await asyncio.gather(
+            self._repeat(self._look, rest),
+            self._repeat(self._return, rest),
+            self._repeat(self._rent, self.wake),
+        )
+
+    async def _repeat(self, step: Callable[[], Awaitable[None]], wake: asyncio.Event) -> None:
         while True:
             try:
-                await asyncio.wait_for(self.wake.wait(), c.TICK_S)
+                await asyncio.wait_for(wake.wait(), c.TICK_S)
             except TimeoutError:
                 pass
-            self.wake.clear()
+            wake.clear()
             if not self.may_act():
                 continue
             try:
-                await self.step()
+                await step()
             except CloudError as exc:
                 log.info("%s", exc)
                 await asyncio.sleep(c.TICK_S)
@@ -196,7 +207,7 @@
                 dict(queued),
             )
 
-    async def step(self) -> None:
+    async def _look(self) -> None:
         now = self.loop.time()
         self._account(now)
         if not self.books.types or now - self.types_at > c.TYPES_S:
@@ -204,8 +215,6 @@
         if now - self.list_at > c.LIST_S:
             self.list_at = now
             self._compare(await self.cloud.machines(), self.loop.time())
-        await self._return()
-        await self._rent()
 
     # --- list ----------------------------------------------------------------
     def _compare(self, listed: list[ListedMachine], now: float) -> None:
@@ -213,9 +222,20 @@
         for item in listed:
             if item.name in self.books.deleted:
                 continue
+            new = item.name not in self.books.machines
+            # One that runs and is new to us came up under an earlier leader: whether it is
+            # silent is judged by what it reports from now on, not by its age.
+            up = item.state == "running"
             machine = self.books.machine(
-                item.name, item.type, item.zone, item.spot, MachinePhase.BOOTING, now - item.age_s
+                item.name,
+                item.type,
+                item.zone,
+                item.spot,
+                MachinePhase.UNHEARD if up else MachinePhase.BOOTING,
+                now,
             )
+            if new:
+                machine.born = now - item.age_s
             machine.listed_at = now
             machine.vouched = True
             if not machine.addr:
@@ -240,17 +260,24 @@
         return len(reached) / max(1, len(up))
 
     def _to_delete(self, now: float) -> list[Machine]:
-        heard = self._heard_share(now)
+        self.workers.attend(now)
+        heard, knocks = self._heard_share(now), self.workers.knocking()
         chosen = []
         for machine in self.books.machines.values():
-            why = self._why_delete(machine, now, heard)
+            why = self._why_delete(machine, now, heard, knocks)
             if why:
                 if machine.phase is not MachinePhase.DELETING:
                     log.info("machine %s is to be deleted: %s", machine.name, why)
                 chosen.append(machine)
-        return chosen[: c.DELETE_MAX - 20]
-
-    def _why_delete(self, machine: Machine, now: float, heard: float) -> str:
+        for machine in self._make_way(now):
+            log.info("machine %s is to be deleted: it may be in the way", machine.name)
+            chosen.append(machine)
+        chosen.sort(key=lambda m: not m.attempts)  # first those whose tasks wait for it
+        return chosen[: c.DELETE_MAX]
+
+    def _why_delete(
+        self, machine: Machine, now: float, heard: float, knocks: Callable[[Machine], bool]
+    ) -> str:
         phase = machine.phase
         if phase is MachinePhase.DELETING:
             return "again"
@@ -266,8 +293,8 @@
             return ""
         if phase in (MachinePhase.UP, MachinePhase.UNHEARD) and heard >= c.HEARD_SHARE:
             lost_s = self.workers.lost_s()
-            quiet = self.workers.silence(machine, now)
-            if quiet > lost_s and (heard >= c.SURE_SHARE or not self.workers.knocks(machine)):
+            quiet = self.workers.ignored_us(machine, now)
+            if quiet > lost_s and (heard >= c.SURE_SHARE or not knocks(machine)):
                 return f"silent for {quiet:.0f} s"
             if machine.deaf_since is not None and now - machine.deaf_since > lost_s:
                 return f"got no answer of ours for {now - machine.deaf_since:.0f} s"
@@ -282,6 +309,24 @@
             return "idle"
         return ""
 
+    def _make_way(self, now: float) -> list[Machine]:
+        """A cloud that refuses what a job has long waited for may have given all it has: a few
+        idle machines that are of no use to the job are not held beside it any longer. Seldom,
+        since clouds mostly count each type and zone by itself."""
+        starved = [job.spec for job, _ in self.short if job.aged]
+        refused = any(until > now for until in self.refused.values())
+        if not starved or not refused or now - self.made_way_at < c.MAKE_WAY_S:
+            return []
+        idle = [
+            (machine, self._offer(machine))
+            for machine in self.books.machines.values()
+            if machine.phase is MachinePhase.UP and not machine.attempts
+        ]
+        found = [m for m, kind in idle if kind and not any(suits(kind, s) for s in starved)]
+        if found:
+            self.made_way_at = now
+        return found[: c.MAKE_WAY]
+
     def _nothing_to_do(self) -> bool:
         return not any(job.phase is JobPhase.ACTIVE for job in self.books.jobs.values())
 
@@ -304,7 +349,9 @@
     async def _return(self) -> None:
         now = self.loop.time()
         chosen = self._to_delete(now)
-        extra, self.failed = self.failed, []
+        # A request with more names than the protocol allows would be refused for ever.
+        room = c.DELETE_MAX - len(chosen)
+        extra, self.failed = self.failed[:room], self.failed[room:]
         if not chosen and not extra:
             return
         for machine in chosen:
@@ -317,27 +364,23 @@
         # The answer proves that the machines and everything on them are gone.
         now = self.loop.time()
         for machine in chosen:
-            self.workers.machine_gone(machine, now, "deleted")
+            if self.books.machines.get(machine.name) is machine:  # not listed as failed meanwhile
+                self.workers.machine_gone(machine, now, "deleted")
         self.on_change()
 
     # --- renting -------------------------------------------------------------
     async def _rent(self) -> None:
-        now = self.loop.time()
         # A rental without an answer is repeated under its own name until it has one.
-        for request, offer, count in list(self.unsure):
-            await self._request(request, offer, count)
+        await self._all_of([self._request(*entry) for entry in self.unsure])
         if not self.listed_once:
             return
+        now = self.loop.time()
         coming, left = [], []
         for machine in self.books.machines.values():
             kind = self._offer(machine)
-            waking = machine.phase is MachinePhase.BOOTING or (
-                machine.phase is MachinePhase.UP
-                and not machine.confirmed
-                and machine.vouched  # else perhaps a late report of one long gone
-            )
-            if kind is not None and waking:
-                coming.append(Bin(kind))
+            if kind is not None and self._wakes(machine, now):
+                free = [machine.free_cpus, machine.free_gpus, machine.free_ram]
+                coming.append(Bin(kind, free))
             elif kind is not None and machine.name in self.leftover:
                 left.append(Bin(kind, list(self.leftover[machine.name])))
         offers = [
@@ -346,11 +389,31 @@
             if self.refused.get(o.key, -1e9) < now
         ]
         rent = plan_rentals(self.short, coming, left, offers)
+        requests = []
         for offer, count in rent:
-            self.number += 1
-            # The term makes the name unique for good, whoever leads later.
-            request = f"r-{self.books.term}-{self.number}"
-            await self._request(request, offer, min(count, c.HIRE_MAX))
+            for part in range(0, count, c.HIRE_MAX):
+                self.number += 1
+                # The term makes the name unique for good, whoever leads later.
+                request = f"r-{self.books.term}-{self.number}"
+                requests.append(self._request(request, offer, min(count - part, c.HIRE_MAX)))
+        await self._all_of(requests)
+
+    def _wakes(self, machine: Machine, now: float) -> bool:
+        """Whether the machine, not in use yet, should soon be."""
+        if machine.phase is MachinePhase.BOOTING:
+            return True
+        if not machine.vouched:
+            return False  # perhaps a late report, or a record, of one long gone
+        if machine.phase is MachinePhase.UNHEARD:
+            return self.workers.silence(machine, now) < self.workers.suspect_s()
+        return machine.phase is MachinePhase.UP and not machine.confirmed
+
+    @staticmethod
+    async def _all_of(requests: list[Coroutine[Any, Any, None]]) -> None:
+        """All at once, in full batches: hundreds of machines can be needed in one go."""
+        for result in await asyncio.gather(*requests, return_exceptions=True):
+            if isinstance(result, BaseException):
+                raise result
 
     def _offer(self, machine: Machine) -> Offer | None:
         size: MachineType | None = self.books.types.get(machine.type)
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -36,6 +36,7 @@
         "number",
         "phase",
         "round",
+        "seen",
         "session",
         "since",
         "stopping",
@@ -53,6 +54,7 @@
         self.grace = 0.0
         self.session = 0  # the worker's session in which it was sent or seen; 0: not known
         self.since = 0.0
+        self.seen: object = None  # what its machine last reported of it
 
     def enter(self, phase: AttemptPhase, now: float) -> None:
         if phase is not self.phase and self.phase is not AttemptPhase.GONE:
@@ -63,6 +65,11 @@
     def running(self) -> bool:
         return self.phase is AttemptPhase.RUNNING
 
+    @property
+    def leaving(self) -> bool:
+        """Its room will be free before long: it is being stopped, or its job is over."""
+        return self.stopping or self.job.phase is not JobPhase.ACTIVE
+
 
 class Job:
     __slots__ = (
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -162,6 +162,13 @@
         return None if name == self.settings.name else name
 
     async def _checkin(self, request: Request) -> Response:
+        response = await self._answer_checkin(request)
+        # More workers than sockets: they take turns, and users are not displaced. Throwing out
+        # idle connections instead would now and then cut off a report on its way.
+        response.close = self.api.crowded
+        return response
+
+    async def _answer_checkin(self, request: Request) -> Response:
         try:
             report = names.report_from_wire(body.cbor_map(request.body))
         except body.MalformedError as exc:
--- a/peathall/peers/service.py
+++ b/peathall/peers/service.py
@@ -15,6 +15,8 @@
 
 log = logging.getLogger("peathall.peers")
 
+KNOCKS = "knocks"  # the query of a ping that asks for them
+
 Handle = Callable[[dict[str, Any]], Awaitable[tuple[int, Any]]]
 
 
@@ -43,8 +45,10 @@
     # --- serving -------------------------------------------------------------
     async def serve(self, request: Request) -> Response:
         if request.method == "GET" and request.path == "/ping":
-            knocks = self.knocking(self.loop.time())
-            return json_response(200, {"knocks": knocks, "leads": self.leads()})
+            told: dict[str, Any] = {"leads": self.leads()}
+            if request.query == KNOCKS:
+                told["knocks"] = self.knocking(self.loop.time())
+            return json_response(200, told)
         if request.method == "POST" and request.path == "/forward":
             try:
                 message = orjson.loads(request.body)
@@ -67,8 +71,9 @@
         for worker, (_, at) in list(self.knocked.items()):
             if now - at > c.KNOCK_MEMORY_S:
                 del self.knocked[worker]
-        fresh = [(w, order) for w, (order, at) in self.knocked.items() if now - at < c.KNOCK_S]
-        return dict(fresh[-c.KNOCK_NAMES :])
+        # All of them, however many: a live machine left out here would look silent to the
+        # leader and be deleted.
+        return {w: order for w, (order, at) in self.knocked.items() if now - at < c.KNOCK_S}
 
     # --- asking --------------------------------------------------------------
     async def forward(self, name: str, message: dict[str, Any], timeout: float) -> tuple[int, Any]:
@@ -90,9 +95,12 @@
 
     async def _ping(self, view: PeerView) -> None:
         try:
-            _, raw = await view.client.request("GET", "/ping", b"", c.PING_S)
+            # Only a leader needs to know who knocks elsewhere.
+            path = f"/ping?{KNOCKS}" if self.leads() else "/ping"
+            _, raw = await view.client.request("GET", path, b"", c.PING_S)
             told = orjson.loads(raw)
-            view.knocks = {str(k): (int(a), int(b)) for k, (a, b) in told["knocks"].items()}
+            knocks = told.get("knocks", {})
+            view.knocks = {str(k): (int(a), int(b)) for k, (a, b) in knocks.items()}
             view.leads = bool(told["leads"])
             view.heard = self.loop.time()
         except (NoAnswerError, ValueError, KeyError, TypeError, AttributeError):
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -56,7 +56,7 @@
 class Detail:
     """What only some decisions need to know of a machine."""
 
-    __slots__ = ("by_end", "coming", "pulling", "victims")
+    __slots__ = ("_sorted", "_victims", "coming", "pulling")
 
     def __init__(
         self,
@@ -66,9 +66,20 @@
     ) -> None:
         self.pulling = set(pulling)  # images that are on their way here
         self.coming = list(coming)  # room of attempts that are being stopped
-        # In the order in which they would be stopped, and in that in which they end.
-        self.victims = sorted(victims, key=lambda v: (-v.priority, v.lost, v.key))
-        self.by_end = sorted(self.victims, key=lambda v: v.ends)
+        self._victims = victims  # not gone through unless somebody may have to be stopped
+        self._sorted: list[Victim] | None = None
+
+    @property
+    def victims(self) -> list[Victim]:
+        """In the order in which they would be stopped."""
+        if self._sorted is None:
+            self._sorted = sorted(self._victims, key=lambda v: (-v.priority, v.lost, v.key))
+        return self._sorted
+
+    @property
+    def by_end(self) -> list[Victim]:
+        """In the order in which they should end by themselves."""
+        return sorted(self.victims, key=lambda v: v.ends)
 
 
 class MachineView:
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import groupby
 from typing import Any
 
 from peathall import constants as c
@@ -243,32 +244,33 @@
         )
 
     def _detail(self, machine: Machine, now: float, covered: set[str]) -> Detail:
-        coming = [0.0, 0.0, 0.0]
-        victims = []
+        cpus = gpus = ram = 0.0
+        for attempt in machine.attempts.values():
+            if attempt.leaving:
+                spec = attempt.job.spec
+                cpus, gpus, ram = cpus + spec.cpus, gpus + spec.gpus, ram + spec.ram
+        return Detail(machine.fetching(), (cpus, gpus, ram), self._victims(machine, now, covered))
+
+    def _victims(self, machine: Machine, now: float, covered: set[str]) -> Iterator[Victim]:
         for (job_id, task), attempt in machine.attempts.items():
-            spec = attempt.job.spec
-            need = (spec.cpus, spec.gpus, spec.ram)
-            if attempt.stopping or attempt.job.phase is not JobPhase.ACTIVE:
-                coming = [a + b for a, b in zip(coming, need, strict=True)]
+            if attempt.leaving:
                 continue
+            spec = attempt.job.spec
             ran = now - attempt.since if attempt.running else 0.0
             lost = spec.save_s if spec.checkpoint_s else ran
             if ran < c.SETTLED_S:
                 lost += c.SETTLED_S  # its start would not count any more
             share = max(spec.cpus / machine.cpus, spec.gpus / max(machine.gpus, 1.0))
             lost = (lost + c.RESTART_S) * share
-            victims.append(
-                Victim(
-                    (job_id, task),
-                    need,
-                    spec.priority,
-                    spec.team,
-                    job_id in covered,
-                    lost,
-                    max(1.0, spec.estimate_s - ran),
-                )
+            yield Victim(
+                (job_id, task),
+                (spec.cpus, spec.gpus, spec.ram),
+                spec.priority,
+                spec.team,
+                job_id in covered,
+                lost,
+                max(1.0, spec.estimate_s - ran),
             )
-        return Detail(machine.fetching(), (coming[0], coming[1], coming[2]), victims)
 
     def _preempt(self, job_id: str, task: int, now: float) -> None:
         job = self.books.jobs.get(job_id)
@@ -288,7 +290,7 @@
         left = (machine.taken_at or now) - now
         for attempt in list(machine.attempts.values()):
             spec = attempt.job.spec
-            if attempt.stopping or attempt.job.phase is not JobPhase.ACTIVE:
+            if attempt.leaving:
                 continue
             rest = max(spec.estimate_s - (now - attempt.since), spec.estimate_s * c.ESTIMATE_FLOOR)
             if not spec.checkpoint_s and attempt.running and rest < left:
@@ -318,25 +320,34 @@
                 dead.add(job_id)
         return [start for start in starts if start.job not in dead]
 
+    def _tell(self, starts: list[Start]) -> None:
+        """One line for each job, however many machines it goes to."""
+        wall = self.wall()
+        for job_id, group in groupby(starts, key=lambda start: start.job):
+            spec = self.books.jobs[job_id].spec
+            chosen = [(self.books.machines[start.machine], start.count) for start in group]
+            log.info(
+                "%s %s: %d tasks to %d machines (%s; %d to fetch) after %.1f s",
+                spec.class_name,
+                job_id,
+                sum(count for _, count in chosen),
+                len(chosen),
+                ", ".join(sorted({machine.type for machine, _ in chosen})),
+                sum(spec.image not in machine.images for machine, _ in chosen),
+                wall - spec.submitted,
+            )
+            for machine, count in chosen:
+                log.debug("%s: %d tasks to %s", job_id, count, machine.name)
+
     async def _start(self, plan: Plan, now: float) -> None:
         """Book the room, store the intent, and only then let the starts go out."""
         entries: list[list[Any]] = []
         fresh: list[list[Attempt]] = []
         numbers: dict[str, int] = {}
-        wall = self.wall()
-        for start in self._still_valid(plan.starts, now):
+        starts = self._still_valid(plan.starts, now)
+        self._tell(starts)
+        for start in starts:
             job = self.books.jobs[start.job]
-            waited = wall - job.spec.submitted
-            log.info(
-                "%s %s: %d tasks to %s (%s%s) after %.1f s",
-                job.spec.class_name,
-                start.job,
-                start.count,
-                start.machine,
-                self.books.machines[start.machine].type,
-                "" if job.spec.image in self.books.machines[start.machine].images else ", to fetch",
-                waited,
-            )
             number = numbers.get(start.job) or self.books.new_attempt_number()
             numbers[start.job] = number
             tasks = Ranges()
--- a/peathall/wire/http.py
+++ b/peathall/wire/http.py
@@ -201,7 +201,12 @@
 
     async def start(self, host: str, port: int) -> None:
         self._server = await self.loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=256, reuse_address=True
+            lambda: ServerConnection(self),
+            host,
+            port,
+            # After a take-over all workers connect within a second.
+            backlog=self.max_connections,
+            reuse_address=True,
         )
         self._sweep()
 
@@ -210,6 +215,11 @@
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
+    @property
+    def crowded(self) -> bool:
+        """Callers who can as well connect anew for every request should do so."""
+        return len(self.connections) > c.CROWDED * self.max_connections
+
     def admit(self, connection: ServerConnection) -> None:
         self.connections[connection] = None
         if len(self.connections) > self.max_connections:
--- a/peathall/wire/names.py
+++ b/peathall/wire/names.py
@@ -12,11 +12,13 @@
 
 import math
 from enum import Enum, IntEnum
+from functools import lru_cache
 from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, Struct, field
 
+from peathall import constants as c
 from peathall.wire.body import MalformedError
 
 
@@ -164,7 +166,7 @@
     return {"id": job_id, "standing": standing.value, "done": done, "running": running}
 
 
-class WireTask(Struct):
+class WireTask(Struct, frozen=True):
     parcel: str
     attempt: int = field(name="try")
     standing: str
@@ -186,13 +188,16 @@
 
 
 class TaskReport:
-    __slots__ = ("attempt", "job", "saved", "state", "task", "why")
+    """What a report says of one task; shared by all reports that say the same, never changed."""
+
+    __slots__ = ("attempt", "job", "key", "saved", "state", "task", "why")
 
     def __init__(
         self, job: str, task: int, attempt: int, state: TaskState, why: Why | None, saved: bool
     ) -> None:
         self.job = job
         self.task = task
+        self.key = (job, task)
         self.attempt = attempt
         self.state = state
         self.why = why
@@ -221,19 +226,22 @@
     return f"{job}/{task}"
 
 
+@lru_cache(maxsize=c.KNOWN_TASK_REPORTS)
+def task_report(item: WireTask) -> TaskReport:
+    """Most of a report says what the one before said: that is not taken apart again."""
+    job, task = task_from_wire(item.parcel)
+    # An unknown word for an end is taken as an error: the attempt is over.
+    why = None
+    if item.standing == TaskState.EXITED.value:
+        known = {w.value for w in Why}
+        why = Why(item.cause) if item.cause in known else Why.ERROR
+    return TaskReport(job, task, item.attempt, TaskState(item.standing), why, bool(item.kept))
+
+
 def report_from_wire(raw: dict[str, Any]) -> Report:
     try:
         wire = msgspec.convert(raw, WireReport)
-        tasks = []
-        for item in wire.parcels:
-            job, task = task_from_wire(item.parcel)
-            # An unknown word for an end is taken as an error: the attempt is over.
-            why = None
-            if item.standing == TaskState.EXITED.value:
-                known = {w.value for w in Why}
-                why = Why(item.cause) if item.cause in known else Why.ERROR
-            state = TaskState(item.standing)
-            tasks.append(TaskReport(job, task, item.attempt, state, why, bool(item.kept)))
+        tasks = [task_report(item) for item in wire.parcels]
     except (msgspec.ValidationError, ValueError) as exc:
         raise MalformedError(str(exc)) from None
     return Report(
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -59,6 +59,7 @@
         self.on_change = on_change
         self.loop = asyncio.get_running_loop()
         self.took_over = now
+        self.attended = self.attentive_since = now  # see attend()
         self.counter = 0
         # The mandate under which a start was sent directly; such a start may be
         # executed late until the worker has seen a higher one.
@@ -91,6 +92,18 @@
     def silence(self, machine: Machine, now: float) -> float:
         return now - machine.last_heard
 
+    def attend(self, now: float) -> None:
+        """Called every second while we may act. A gap means that we stood still, or that our
+        lease did: the reports of that time went unanswered, which is no machine's fault."""
+        if now - self.attended > c.STALL_S:
+            log.info("did not attend to the machines for %.1f s", now - self.attended)
+            self.attentive_since = now
+        self.attended = now
+
+    def ignored_us(self, machine: Machine, now: float) -> float:
+        """Seconds for which the machine could have reported to us, and has not."""
+        return now - max(machine.last_heard, self.attentive_since)
+
     def suspect_s(self) -> float:
         """So long after a machine's last report it takes no new work."""
         return min(
@@ -105,10 +118,11 @@
         """Two missed reports: by then every machine would have been heard."""
         return 2 * self.settings.report_s + c.TICK_S
 
-    def knocks(self, machine: Machine) -> bool:
-        """Whether it has lately sent another controller a report newer than all we had. A
-        late copy of an old report is no sign of life."""
-        return self.elsewhere().get(machine.name, (0, -1)) > machine.checked
+    def knocking(self) -> Callable[[Machine], bool]:
+        """Tells of a machine whether it has lately sent another controller a report newer
+        than all we had. A late copy of an old report is no sign of life."""
+        elsewhere = self.elsewhere()
+        return lambda machine: elsewhere.get(machine.name, (0, -1)) > machine.checked
 
     def expected(self) -> list[Machine]:
         """Machines that should report to us, known from reports or only from records."""
@@ -117,11 +131,9 @@
 
     def out_of_reach(self, now: float) -> bool:
         """Most machines are alive, but don't hear us or are not heard: our own trouble."""
-        up = self.expected()
-        lost = [
-            m for m in up if m.deaf_since is not None or self.silence(m, now) > self.unreached_s()
-        ]
-        return len(lost) > c.OUT_OF_REACH_SHARE * len(up) and any(self.knocks(m) for m in lost)
+        up, limit = self.expected(), self.unreached_s()
+        lost = [m for m in up if m.deaf_since is not None or self.ignored_us(m, now) > limit]
+        return len(lost) > c.OUT_OF_REACH_SHARE * len(up) and any(map(self.knocking(), lost))
 
     # --- check-ins -----------------------------------------------------------
     def checkin(self, report: Report, now: float) -> tuple[int, dict[str, Any] | None]:
@@ -190,14 +202,18 @@
             log.info("machine %s will be taken in %.0f s", machine.name, report.notice_s)
             noticed = True
             self.on_change()
-        present: set[tuple[str, int, int]] = set()
+        present: set[Attempt] = set()
         exits: list[Exits] = []
         strays: list[tuple[str, int, int]] = []
         for item in report.tasks:
-            present.add((item.job, item.task, item.attempt))
-            attempt = machine.attempts.get((item.job, item.task))
-            if attempt is not None and attempt.number != item.attempt:
-                attempt = None
+            attempt = machine.attempts.get(item.key)
+            if attempt is not None:
+                if attempt.number != item.attempt:
+                    attempt = None
+                else:
+                    present.add(attempt)
+                    if attempt.seen is item:
+                        continue  # as in the report before
             if item.state is TaskState.EXITED:
                 exits.append(self._exited(machine, item, attempt, now))
             elif attempt is not None:
@@ -212,13 +228,14 @@
             self.on_notice(machine, now)
         if conclusive and report.token >= self.base:
             for attempt in list(machine.attempts.values()):
-                if (attempt.job.spec.id, attempt.task, attempt.number) not in present:
+                if attempt not in present:
                     self._absent(machine, attempt, report.token, now)
 
     def _seen(self, machine: Machine, attempt: Attempt, item: TaskReport, now: float) -> None:
         if attempt.phase in (AttemptPhase.PLANNED, AttemptPhase.GONE):
             return
         before = attempt.phase
+        attempt.seen = item
         attempt.session = machine.session
         attempt.enter(PHASE_OF[item.state], now)
         if before is not attempt.phase:
@@ -427,6 +444,7 @@
         # Raised every second: late direct starts are refused from then on, and the token
         # that a report shows tells which of our answers the worker has had.
         self.counter += 1
+        self.attend(now)
         for machine in list(self.books.machines.values()):
             if not machine.attempts and machine.phase is not MachinePhase.UNHEARD:
                 continue
@@ -436,7 +454,7 @@
                 machine.confirmed = False
                 self._lost(self.books.release_all(machine, now), now)
                 self.exits.pop(machine.name, None)
-                if machine.phase is MachinePhase.UNHEARD:
+                if machine.phase is MachinePhase.UNHEARD and not machine.vouched:
                     # Known from records only: if it still exists, its report or the
                     # cloud's list brings it back.
                     self.books.remove_machine(machine, now, "not heard since the take-over")
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -166,7 +166,7 @@
         workers.checkin(report(1, 9, 0, machine="m-9"), 8.0)
         workers.checkin(report(1, 3, 0), 8.0)
         assert machine.deaf_since == 6.0
-        for now in (13.0, 18.0):
+        for now in range(8, 20):
             workers.tick(now)
             for other in workers.books.machines.values():
                 if other.name != "m-9":
