--- a/tests/sim/test_http.py
+++ b/tests/sim/test_http.py
@@ -7,10 +7,14 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import cbor2
+import msgspec
+
 from peathall import constants as c
 from peathall.node import Node
 from peathall.settings import Operator
 from peathall.wire.http import HttpClient, HttpServer, Request, Response
+from peathall.wire.names import Report
 from tests.sim.net import HOST, Host, VirtualLoop
 from tests.sim.test_days import node_settings, virtual
 
@@ -82,6 +86,48 @@
     run(play)
 
 
+def test_more_workers_than_sockets_take_turns_and_displace_no_user() -> None:
+    """After a take-over 970 workers come to one controller that may have 1,200 sockets."""
+
+    class Leading:
+        def __init__(self) -> None:
+            self.heard = 0
+
+        async def checkin(self, report: Report) -> tuple[int, dict[str, Any]]:
+            self.heard += 1
+            return 200, {"mandate": 1, "writs": []}
+
+    async def play(loop: VirtualLoop) -> None:
+        settings = node_settings(0)
+        limits = msgspec.structs.replace(settings.params.machine_limits, fd_limit=1200)
+        params = msgspec.structs.replace(settings.params, machine_limits=limits)
+        node = Node(msgspec.structs.replace(settings, params=params), Operator(), lambda: 0.0)
+        node.assemble()
+        leader: Any = Leading()
+        node.leader = leader
+        await node.api.start("10.0.0.1", 80)
+        users = [await raw(loop, b"GET /healthz HTTP/1.1\r\n\r\n") for _ in range(100)]
+        most = 0
+
+        async def worker(number: int) -> None:
+            nonlocal most
+            client = HttpClient("10.0.0.1:80", keep=1)
+            await asyncio.sleep(number / 970)
+            for tick in range(4):
+                report = {"hall": f"m-{number}", "tenure": 1, "tick": tick, "parcels": []}
+                status, _ = await client.request("POST", "/checkin", cbor2.dumps(report), 4.0)
+                assert status == 200
+                most = max(most, len(node.api.connections))
+                await asyncio.sleep(2.0 + loop.rng.random())
+
+        await asyncio.gather(*(worker(number) for number in range(970)))
+        assert leader.heard == 4 * 970
+        assert not any(user.closed for user in users)
+        assert most < node.api.max_connections
+
+    run(play)
+
+
 def test_paths_and_methods() -> None:
     async def play(loop: VirtualLoop) -> None:
         node = Node(node_settings(0), Operator(), lambda: 0.0)
--- /dev/null
+++ b/tests/unit/test_fleet.py
@@ -0,0 +1,198 @@
+"""Renting, listing and returning by the hundred, against a stand-in of the cloud."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from peathall import constants as c
+from peathall.books import Books
+from peathall.fleet.planner import Offer
+from peathall.fleet.service import CloudError, Fleet
+from peathall.leadership.lease import first_attempt
+from peathall.placement.planner import JobView
+from peathall.settings import CloudSettings, Params, StateSettings, Team, WorkerSettings
+from peathall.wire.names import ListedMachine, MachineType
+from peathall.workers.model import Machine, MachinePhase
+from peathall.workers.service import Workers
+from tests.unit.test_planner import spec
+from tests.unit.test_workers import report
+
+KIND = MachineType("g", 8.0, 0.0, 16.0, 50.0, 1.0, 10.0, 3.0, 30.0, ["a"])
+TERM = 5
+
+
+class Cloud:
+    """Answers after a moment; keeps what it was asked."""
+
+    def __init__(self) -> None:
+        self.deleted: list[list[str]] = []
+        self.rented: list[tuple[str, int]] = []
+        self.at_once = self.most_at_once = 0
+        self.doubt = False
+
+    async def delete(self, machines: list[str]) -> None:
+        self.deleted.append(machines)
+
+    async def rent(self, request: str, offer: Offer, count: int) -> list[str]:
+        self.at_once += 1
+        self.most_at_once = max(self.most_at_once, self.at_once)
+        await asyncio.sleep(0)
+        self.at_once -= 1
+        if self.doubt:
+            raise CloudError("no answer", sent=True)
+        self.rented.append((request, count))
+        return [f"{request}/{n}" for n in range(count)]
+
+
+def play(test: Callable[[Fleet, Workers, Cloud], Awaitable[None]]) -> None:
+    async def run() -> None:
+        books = Books(TERM, first_attempt(TERM))
+        books.types = {"g": KIND}
+        settings = WorkerSettings(5.0, 24.0, 40.0, 4.0, 40.0)
+        params = Params(settings, StateSettings(9, 9, 8, 9), CloudSettings(4, 4), [Team("t")])
+        now = asyncio.get_running_loop().time()
+        workers = Workers(books, settings, now, lambda: True, lambda job: None, lambda: None, 9)
+        cloud: Any = Cloud()
+        writer: Any = None
+        fleet = Fleet(books, params, cloud, writer, workers, lambda: True, lambda: None, 1e6)
+        await test(fleet, workers, cloud)
+
+    asyncio.run(run())
+
+
+def listed(number: int, state: str = "running", age: float = 500.0) -> ListedMachine:
+    return ListedMachine(f"m-{number}", "", "g", "a", False, state, age)
+
+
+def add(workers: Workers, number: int, now: float) -> Machine:
+    """A machine that is up and has heard us."""
+    for seq in (1, 2):
+        workers.checkin(report(1, seq, workers.base, machine=f"m-{number}"), now)
+    return workers.books.machines[f"m-{number}"]
+
+
+def test_hundreds_of_machines_are_rented_at_once_in_full_batches() -> None:
+    async def test(fleet: Fleet, workers: Workers, cloud: Cloud) -> None:
+        fleet.listed_once = True
+        fleet.short = [(JobView(spec(id="j-1", tasks=260, cpus=8.0, gpus=0.0, ram=1.0), 260), 260)]
+        await fleet._rent()
+        assert sorted(count for _, count in cloud.rented) == [10, 50, 50, 50, 50, 50]
+        assert len({request for request, _ in cloud.rented}) == 6
+        assert cloud.most_at_once == 6
+        await fleet._rent()
+        assert len(cloud.rented) == 6  # those that are coming are enough
+
+    play(test)
+
+
+def test_rentals_without_an_answer_are_repeated_before_any_other() -> None:
+    async def test(fleet: Fleet, workers: Workers, cloud: Cloud) -> None:
+        fleet.listed_once = True
+        fleet.short = [(JobView(spec(id="j-1", tasks=70, cpus=8.0, gpus=0.0, ram=1.0), 70), 70)]
+        cloud.doubt = True
+        for _ in range(3):
+            try:
+                await fleet._rent()
+            except CloudError:
+                pass
+        names = {request for request, _, _ in fleet.unsure}
+        assert len(names) == len(fleet.unsure) == 2
+        cloud.doubt = False
+        await fleet._rent()
+        assert {request for request, _ in cloud.rented} == names
+        assert not fleet.unsure
+
+    play(test)
+
+
+def test_a_deletion_never_names_more_than_the_protocol_allows() -> None:
+    """With 80 idle machines and 40 that failed, one request of 120 was refused for ever."""
+
+    async def test(fleet: Fleet, workers: Workers, cloud: Cloud) -> None:
+        fleet.idle_hold_s = 0.0
+        now = asyncio.get_running_loop().time()
+        for number in range(230):
+            add(workers, number, now - 1.0)
+        fleet._compare([listed(n, "failed") for n in range(300, 390)], now)
+        while fleet.failed or workers.books.machines:
+            await fleet._return()
+        assert max(map(len, cloud.deleted)) == c.DELETE_MAX
+        assert len({name for names in cloud.deleted for name in names}) == 230 + 90
+
+    play(test)
+
+
+def test_after_a_take_over_a_listed_machine_is_not_judged_by_its_age() -> None:
+    """It runs, idle, and reports within seconds; its age once made it 'never came up'."""
+
+    async def test(fleet: Fleet, workers: Workers, cloud: Cloud) -> None:
+        now = workers.took_over
+        add(workers, 1, now + 1.0)
+        fleet._compare([listed(1), listed(2), listed(3, "starting", 20.0)], now + 1.0)
+        assert not fleet._to_delete(now + 1.0)
+        idle = workers.books.machines["m-2"]
+        assert idle.phase is MachinePhase.UNHEARD
+        assert fleet._wakes(idle, now + 2.0)  # counted on, rather than rented anew
+        for second in range(1, 16):
+            workers.tick(now + second)
+            for number in (1, 2) if second < 5 else (1,):
+                machine = workers.books.machines[f"m-{number}"]
+                seq = machine.seq + 1
+                workers.checkin(report(1, seq, workers.token, machine=machine.name), now + second)
+        assert idle.usable
+        # One that stays silent was perhaps deleted by the leader before; it goes by its silence.
+        fleet._compare([listed(n, age=400.0) for n in (1, 2, 4)], now + 15.0)
+        for second in range(16, 31):
+            workers.tick(now + second)
+            for number in (1, 2):
+                machine = workers.books.machines[f"m-{number}"]
+                seq = machine.seq + 1
+                workers.checkin(report(1, seq, workers.token, machine=machine.name), now + second)
+        assert [m.name for m in fleet._to_delete(now + 30.0)] == ["m-4"]
+
+    play(test)
+
+
+def test_a_leader_that_stood_still_does_not_blame_the_machines() -> None:
+    """Frozen for 28 s it wakes to a fleet that all looks silent. An outage of the state service
+    keeps its lease, so it may act; as soon as a third had reported, the others were deleted."""
+
+    async def test(fleet: Fleet, workers: Workers, cloud: Cloud) -> None:
+        now = workers.took_over
+        machines = [add(workers, number, now + 1.0) for number in range(10)]
+        workers.tick(now + 1.0)
+        woke = now + 29.0
+        for machine in machines[:4]:
+            workers.checkin(report(1, 3, workers.token, machine=machine.name), woke)
+        assert not fleet._to_delete(woke + 0.1)
+        assert not workers.out_of_reach(woke + 0.1)
+        for second in range(1, 17):
+            workers.tick(woke + second)
+            for machine in machines[:9]:
+                seen = report(1, machine.seq + 1, workers.token, machine=machine.name)
+                workers.checkin(seen, woke + second)
+        assert [m.name for m in fleet._to_delete(woke + 16.5)] == [machines[9].name]
+
+    play(test)
+
+
+def test_idle_machines_make_way_for_a_job_that_is_refused_others() -> None:
+    """They were held for five minutes for teams with guarantees, in a cloud that was full."""
+
+    async def test(fleet: Fleet, workers: Workers, cloud: Cloud) -> None:
+        now = workers.took_over
+        for number in range(2 * c.MAKE_WAY):
+            add(workers, number, now)
+        job = JobView(spec(id="j-1", zone="b"), 1, aged=True)
+        fleet.short = [(job, 1)]
+        assert not fleet._to_delete(now)  # nothing was refused
+        fleet.refused[("g", "b", False)] = now + 200.0
+        assert len(fleet._to_delete(now)) == c.MAKE_WAY
+        assert not fleet._make_way(now + 1.0)  # first it must show whether that helps
+        assert len(fleet._make_way(now + c.MAKE_WAY_S)) == c.MAKE_WAY
+        fleet.short = [(JobView(spec(id="j-2"), 1, aged=True), 1)]
+        assert not fleet._make_way(now + 2 * c.MAKE_WAY_S - 1.0)  # it could use them itself
+
+    play(test)
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -6,13 +6,16 @@
 from collections.abc import Callable
 from typing import Any
 
+import orjson
+
 from peathall.books import Books
 from peathall.fleet.service import Fleet
 from peathall.jobs.model import Attempt, AttemptPhase, Job
 from peathall.leadership.lease import first_attempt, token
 from peathall.peers.service import Peers
 from peathall.settings import CloudSettings, Params, Peer, StateSettings, Team, WorkerSettings
-from peathall.wire.names import MachineType, Report, TaskReport, TaskState
+from peathall.wire.http import Request
+from peathall.wire.names import MachineType, Report, TaskReport, TaskState, report_from_wire
 from peathall.workers.model import Machine, MachinePhase
 from peathall.workers.service import Workers
 from tests.unit.test_planner import spec
@@ -145,6 +148,49 @@
     asyncio.run(run())
 
 
+def test_however_many_machines_knock_all_are_named() -> None:
+    """A ping once named 500 at most: the other live machines looked silent and were deleted."""
+
+    async def run() -> None:
+        async def handle(message: dict[str, object]) -> tuple[int, object]:
+            return 200, None
+
+        peers = Peers([Peer("hall-1", "a", "10.0.0.2:1")], handle)
+        for number in range(970):
+            peers.knock(f"m-{number}", (1, 7), peers.loop.time())
+        asked = await peers.serve(Request("GET", "/ping", "knocks", b""))
+        assert len(orjson.loads(asked.body)["knocks"]) == 970
+        plain = await peers.serve(Request("GET", "/ping", "", b""))
+        assert "knocks" not in orjson.loads(plain.body)  # of use to a leader only
+
+    asyncio.run(run())
+
+
+def test_what_a_report_says_again_is_taken_as_said() -> None:
+    """Unchanged tasks are passed over; their absence, or a change, is still noticed."""
+
+    def test(workers: Workers) -> None:
+        machine = known(workers)
+        attempt = booked(workers, workers.books.new_attempt_number())
+        wire = {"parcel": "j-1/0", "try": attempt.number, "standing": "running"}
+        raw = {"hall": "m-1", "endpoint": "10.1.0.1:9", "build": "g", "ward": "a", "tenure": 1}
+
+        def hear(seq: int, parcels: list[dict[str, object]]) -> None:
+            said = raw | {"tick": seq, "mandate": workers.token, "parcels": parcels}
+            workers.checkin(report_from_wire(said), float(seq))
+
+        for seq in (11, 12, 13):
+            hear(seq, [dict(wire)])
+            assert attempt.phase is AttemptPhase.RUNNING
+            assert list(machine.attempts.values()) == [attempt]
+        hear(14, [wire | {"standing": "flushing"}])
+        assert attempt.phase is AttemptPhase.SAVING
+        hear(15, [])
+        assert attempt.phase is AttemptPhase.GONE
+
+    play(test)
+
+
 def test_machines_that_hear_nothing_or_are_only_late_copies_are_returned() -> None:
     def test(workers: Workers) -> None:
         nothing: Any = None
