--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -479,10 +479,12 @@
         return wanted
 
     def sparing(self, machine: MachineView, spec: JobSpec, count: int) -> int:
-        """As many tasks as leave room for one more gang task of each class, somewhere."""
+        """As many tasks as leave room for the next gang of each class, somewhere: for all of
+        a gang that could not stop these tasks, for one task of any other."""
         for i, shape in enumerate(self.shapes):
-            # Only the last machine with room for such a task has to spare it.
-            if self.roomy[i] != 1 or not allowed(machine, shape) or not machine.fits(shape):
+            spared = shape.tasks if shape.priority >= spec.priority else 1
+            # Only the last machines with room for such a task have to spare it.
+            if self.roomy[i] > spared or not allowed(machine, shape) or not machine.fits(shape):
                 continue
             spare = [
                 a - b
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -161,15 +161,18 @@
         return current.plan
 
     def _shapes(self, wall: float) -> list[JobSpec]:
-        """The latest gang of each class that came lately."""
-        latest: dict[str, JobSpec] = {}
-        for job in self.books.jobs.values():
-            if job.spec.gang:
-                latest[job.spec.class_name] = job.spec
-        self.shapes |= latest
-        self.shapes = {
-            k: s for k, s in self.shapes.items() if wall - s.submitted < c.SHAPE_MEMORY_S
-        }
+        """The largest gang of each class that came lately."""
+        gangs = [job.spec for job in self.books.jobs.values() if job.spec.gang]
+        lately = [
+            spec
+            for spec in [*self.shapes.values(), *gangs]
+            if wall - spec.submitted < c.SHAPE_MEMORY_S
+        ]
+        self.shapes = {}
+        for spec in lately:
+            known = self.shapes.get(spec.class_name)
+            if known is None or (spec.tasks, spec.submitted) >= (known.tasks, known.submitted):
+                self.shapes[spec.class_name] = spec
         return list(self.shapes.values())
 
     def _usable(self, machine: Machine, now: float) -> bool:
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -10,6 +10,7 @@
     Detail,
     JobView,
     MachineView,
+    Round,
     Victim,
     latest_start,
     make_plan,
@@ -288,3 +289,15 @@
     assert [s.job for s in make_plan([small, gang], views, teams, {"t": [4.0, 0.0]}).starts] == [
         "j-2"
     ]
+
+
+def test_room_for_a_whole_gang_is_spared_by_tasks_that_it_could_not_stop() -> None:
+    """Small tasks had one left of each machine that only the gangs of a class fit on."""
+    shape = spec(id="j-9", gang=True, tasks=3, cpus=4.0, priority=2)
+    for priority, urgent, started in ((2, False, 8), (3, False, 16), (2, True, 20)):
+        views = [machine(f"m-{i}", (4.0, 0.0, 80.0)) for i in range(5)]
+        job = JobView(spec(tasks=20, priority=priority), 20, urgent=urgent)
+        current = Round(views, TEAMS, {}, shapes=[shape], lowest=-1)
+        for _ in current.run([job]):
+            pass
+        assert sum(start.count for start in current.plan.starts) == started
