--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -58,6 +58,9 @@
 SAVE_GRACE_S = 3.0  # s; added to the time that a task needs to save
 FORGET_CACHES_S = 60.0  # s; after a take-over every living machine has reported or is listed
 KNOWN_TASK_REPORTS = 30_000  # sentences of reports that are recognised, some 300 bytes each
+PATIENT_ORDERS = 40.0  # a second and core: direct orders for tasks that could wait for their
+# machine's next report, at most; each costs the leader about as much as a report
+GC_OBJECTS = 20_000  # new objects between looks for cyclic garbage: asyncio makes little of it
 DIRECT_TIMEOUT_S = 2.0  # s; a direct order without an answer is repeated by the next check-in
 
 # --- placement --------------------------------------------------------------
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -64,6 +64,7 @@
             self._done,
             self._nudge,
             max(1, int(params.machine_limits.fd_limit * c.DIRECT_SHARE)),
+            c.PATIENT_ORDERS * min(1.0, params.machine_limits.cpu_share),
         )
         self.caches = Caches(self.books, self.writer)
         self.workers.on_images = self.caches.changed
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -64,6 +64,7 @@
 
     async def run(self) -> None:
         self.assemble()
+        gc.set_threshold(c.GC_OBJECTS)
         gc.freeze()  # what start-up made stays: later collections need not look at it
         await self.back.start(*split_addr(self.settings.peer_listen))
         await self.api.start(*split_addr(self.settings.listen))
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -70,6 +70,7 @@
         self.wake = asyncio.Event()
         self.number = 0
         self.shapes: dict[str, JobSpec] = {}  # by class, see _shapes
+        self.covered: set[str] = set()  # jobs within their teams' guarantees, at the last round
         self.short: list[tuple[JobView, int]] = []
         self.leftover: dict[str, list[float]] = {}
         self.on_short: Callable[[], None] = lambda: None
@@ -136,7 +137,7 @@
         """One plan, on views taken at its beginning. Others get their turn between jobs:
         a long round must not hold up check-ins, users and the renewal of the lead."""
         wall = self.wall()
-        covered = self._covered()
+        covered = self.covered = self._covered()
         active = [job for job in self.books.jobs.values() if job.phase is JobPhase.ACTIVE]
         jobs = [
             self._job_view(job, wall, now, covered)
@@ -379,7 +380,7 @@
 
     def _stored(self, key: str, attempts: list[Attempt]) -> None:
         now = self.loop.time()
-        pushed: dict[str, None] = {}
+        pushed: dict[str, bool] = {}  # machine -> whether all that it starts may wait
         for attempt in attempts:
             if attempt.phase is not AttemptPhase.PLANNED:
                 continue
@@ -387,10 +388,12 @@
             if attempt.stopping or attempt.job.phase is not JobPhase.ACTIVE:
                 self.books.release(attempt, now)
             else:
-                pushed[attempt.machine] = None
+                spec = attempt.job.spec
+                patient = not spec.gang and spec.id not in self.covered
+                pushed[attempt.machine] = patient and pushed.get(attempt.machine, True)
         if key not in self.books.rounds:
             self._round_over(key)
-        for name in pushed:
+        for name, patient in pushed.items():
             machine = self.books.machines.get(name)
             if machine is not None:
-                self.workers.push(machine)
+                self.workers.push(machine, patient)
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -13,6 +13,7 @@
 from peathall.jobs.model import Attempt, AttemptPhase, Job, JobPhase
 from peathall.leadership.lease import token
 from peathall.settings import WorkerSettings
+from peathall.store.budget import Budget
 from peathall.wire import body, names
 from peathall.wire.http import HttpClient, NoAnswerError
 from peathall.wire.names import Report, TaskReport, TaskState, Why
@@ -51,6 +52,7 @@
         on_done: Callable[[Job], None],
         on_change: Callable[[], None],
         lines: int,
+        patient_rate: float = c.PATIENT_ORDERS,
     ) -> None:
         self.books = books
         self.settings = settings
@@ -68,6 +70,7 @@
         self.strays: dict[str, list[tuple[str, int, int]]] = {}  # tasks that nobody asked for
         self.couriers: dict[str, asyncio.Task[None]] = {}
         self.lines = lines  # direct connections at once
+        self.patient = Budget(patient_rate)  # direct orders that might as well wait
         self.turn = asyncio.Semaphore(lines)
         self.clients: OrderedDict[str, HttpClient] = OrderedDict()  # least lately used first
         self.elsewhere: Callable[[], dict[str, tuple[int, int]]] = dict
@@ -397,8 +400,14 @@
             orders += [names.stop_order(*stray, 0.0) for stray in self.strays.get(machine.name, ())]
         return orders
 
-    def push(self, machine: Machine) -> None:
-        """Send what is due straight to the worker, one request at a time for each machine."""
+    def push(self, machine: Machine, patient: bool = False) -> None:
+        """Send what is due straight to the worker, one request at a time for each machine.
+
+        What is patient goes out like this only while few such orders do: the more there is to
+        start, the more of it waits for the next check-in, which comes anyway and carries all.
+        """
+        if patient and self.patient.wait(1, self.loop.time()) > 0:
+            return
         if machine.addr and machine.name not in self.couriers and self.may_act():
             self.couriers[machine.name] = self.loop.create_task(self._deliver(machine))
 
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from peathall import constants as c
 from peathall.books import Books
 from peathall.fleet.service import Fleet
 from peathall.jobs.model import Attempt, AttemptPhase, Job
@@ -148,6 +149,23 @@
     asyncio.run(run())
 
 
+def test_orders_that_may_wait_go_out_directly_only_while_few_do() -> None:
+    def test(workers: Workers) -> None:
+        machines = []
+        for number in range(3 * int(c.PATIENT_ORDERS)):
+            workers.checkin(report(1, 1, 0, machine=f"m-{number}"), 1.0)
+            machines.append(workers.books.machines[f"m-{number}"])
+        for machine in machines:
+            workers.push(machine, patient=True)
+        assert len(workers.couriers) == c.PATIENT_ORDERS
+        for machine in machines:
+            workers.push(machine)
+        assert len(workers.couriers) == len(machines)
+        workers.close()
+
+    play(test)
+
+
 def test_however_many_machines_knock_all_are_named() -> None:
     """A ping once named 500 at most: the other live machines looked silent and were deleted."""
 
