--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -57,7 +57,7 @@
 ERROR_BACKOFF_MAX_S = 60.0  # s; a mistaken job stays until its user cancels it
 SAVE_GRACE_S = 3.0  # s; added to the time that a task needs to save
 FORGET_CACHES_S = 60.0  # s; after a take-over every living machine has reported or is listed
-KNOWN_TASK_REPORTS = 30_000  # sentences of reports that are recognised, some 300 bytes each
+KNOWN_TASK_REPORTS = 12_000  # sentences of reports that are recognised, some 700 bytes each
 PATIENT_ORDERS = 40.0  # a second and core: direct orders for tasks that could wait for their
 # machine's next report, at most; each costs the leader about as much as a report
 GC_OBJECTS = 20_000  # new objects between looks for cyclic garbage: asyncio makes little of it
@@ -87,6 +87,7 @@
 HIRE_MAX = 50  # machines in one rental request (protocol)
 DELETE_MAX = 100  # names in one deletion request (protocol)
 LIST_PAGE = 500  # machines in one page of the list (protocol)
+RENT_GAP_S = 0.5  # s; least distance of two plans of what to rent
 NO_CAPACITY_S = 12.0  # s; before a refused type, zone and kind is asked for again
 BOOT_PATIENCE = 4.0  # times startup_s; a machine that is not up by then is returned
 BOOT_PATIENCE_MIN_S = 60.0  # s; a deleted machine costs 60 s in any case
--- a/peathall/fleet/planner.py
+++ b/peathall/fleet/planner.py
@@ -119,6 +119,8 @@
 def home_zone(spec: JobSpec, count: int, bins: list[Bin], offers: list[Offer]) -> str | None:
     """The zone for all tasks: where most find room already, among those with offers."""
     zones = list(dict.fromkeys([b.offer.zone for b in bins] + [o.zone for o in offers]))
+    if len(zones) < 2:
+        return next(iter(zones), None)
 
     def room(zone: str) -> tuple[int, bool]:
         fits = sum(fits_in(b.free, spec) for b in bins if b.offer.zone == zone)
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -372,7 +372,7 @@
     async def _rent(self) -> None:
         # A rental without an answer is repeated under its own name until it has one.
         await self._all_of([self._request(*entry) for entry in self.unsure])
-        if not self.listed_once:
+        if not self.listed_once or not self.short:
             return
         now = self.loop.time()
         coming, left = [], []
@@ -397,6 +397,8 @@
                 request = f"r-{self.books.term}-{self.number}"
                 requests.append(self._request(request, offer, min(count - part, c.HIRE_MAX)))
         await self._all_of(requests)
+        # Machines take long to boot: planning for them with every round would gain nothing.
+        await asyncio.sleep(c.RENT_GAP_S)
 
     def _wakes(self, machine: Machine, now: float) -> bool:
         """Whether the machine, not in use yet, should soon be."""
--- a/peathall/wire/body.py
+++ b/peathall/wire/body.py
@@ -23,7 +23,7 @@
     # A decoder of foreign bytes fails in many ways: recursion, memory, value.
     except Exception as exc:
         raise MalformedError(f"not CBOR: {type(exc).__name__}") from None
-    if not isinstance(value, dict) or not all(isinstance(key, str) for key in value):
+    if not isinstance(value, dict) or set(map(type, value)) - {str}:
         raise MalformedError("not a map with text keys")
     return value
 
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -375,6 +375,8 @@
         usable = machine.confirmed and machine.phase in (MachinePhase.UP, MachinePhase.DRAINING)
         usable = usable and machine.deaf_since is None
         for (job_id, task), attempt in machine.attempts.items():
+            if attempt.phase is AttemptPhase.RUNNING and not attempt.stopping:
+                continue  # nearly all of them
             if attempt.phase in (AttemptPhase.PLANNED, AttemptPhase.GONE):
                 continue
             if attempt.stopping:
