--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -594,6 +594,8 @@
         for zone in self.zones(spec):
             options = []
             for machine in self.usable(job, zone):
+                if machine.kept_for is not None:
+                    continue  # for a gang before this one: it would need others
                 wait, count = free_in(machine, spec)
                 if count:
                     options.append((wait, machine.name, machine, count))
