--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -98,7 +98,8 @@
 ACCOUNT_S = 30.0  # s; between lines that tell where the machines' time went
 GUARANTEED_HOLD_S = 300.0  # s; idle machines are kept so long where teams have guarantees
 MAKE_WAY = 4  # idle machines returned for a job whose machines the cloud refuses
-MAKE_WAY_S = 100.0  # s; between such returns: time enough to see whether it helped
+MAKE_WAY_IDLE_S = 90.0  # s; others will soon be used again, with the images that they have
+MAKE_WAY_S = 30.0  # s; between such returns: time enough to see whether it helped
 IDLE_BOOTS = 1.0  # times startup_s; elsewhere: about what booting and fetching anew would cost
 
 # --- peers ------------------------------------------------------------------
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -311,8 +311,8 @@
 
     def _make_way(self, now: float) -> list[Machine]:
         """A cloud that refuses what a job has long waited for may have given all it has: a few
-        idle machines that are of no use to the job are not held beside it any longer. Seldom,
-        since clouds mostly count each type and zone by itself."""
+        machines that have long been idle and are of no use to the job are not held beside it.
+        Seldom, since clouds mostly count each type and zone by itself."""
         starved = [job.spec for job, _ in self.short if job.aged]
         refused = any(until > now for until in self.refused.values())
         if not starved or not refused or now - self.made_way_at < c.MAKE_WAY_S:
@@ -320,7 +320,9 @@
         idle = [
             (machine, self._offer(machine))
             for machine in self.books.machines.values()
-            if machine.phase is MachinePhase.UP and not machine.attempts
+            if machine.phase is MachinePhase.UP
+            and not machine.attempts
+            and now - machine.idle_since > c.MAKE_WAY_IDLE_S
         ]
         found = [m for m, kind in idle if kind and not any(suits(kind, s) for s in starved)]
         if found:
