--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -56,7 +56,7 @@
 class Detail:
     """What only some decisions need to know of a machine."""
 
-    __slots__ = ("_sorted", "_victims", "coming", "pulling")
+    __slots__ = ("_by_end", "_sorted", "_victims", "coming", "pulling")
 
     def __init__(
         self,
@@ -68,6 +68,7 @@
         self.coming = list(coming)  # room of attempts that are being stopped
         self._victims = victims  # not gone through unless somebody may have to be stopped
         self._sorted: list[Victim] | None = None
+        self._by_end: list[Victim] | None = None
 
     @property
     def victims(self) -> list[Victim]:
@@ -79,7 +80,9 @@
     @property
     def by_end(self) -> list[Victim]:
         """In the order in which they should end by themselves."""
-        return sorted(self.victims, key=lambda v: v.ends)
+        if self._by_end is None:
+            self._by_end = sorted(self.victims, key=lambda v: v.ends)
+        return self._by_end
 
 
 class MachineView:
@@ -293,7 +296,9 @@
     start = job.latest_start + c.EFFORT_WEIGHT * effort(job, totals)
     if job.aged:
         return (-1, spec.submitted)
-    return (spec.priority, not job.covered, not spec.gang, start, spec.submitted)
+    # What needs a GPU finds room on fewer machines than what needs none, which would take the
+    # last CPUs of machines whose GPUs then stand idle.
+    return (spec.priority, not job.covered, not spec.gang, not spec.gpus, start, spec.submitted)
 
 
 class Round:
@@ -545,10 +550,14 @@
         up again piece by piece while a larger one waits for it.
         """
         spec = job.spec
-        if not spec.gang and not job.covered and spec.priority >= self.lowest:
-            return False  # nobody may be stopped, and independent tasks need no room together
         if not job.urgent and not job.covered:
             return False
+        if not spec.gang and not job.covered and spec.priority >= self.lowest:
+            # Nobody may be stopped. Smaller tasks would take the room of those that end one
+            # by one, and a larger one would never find enough together.
+            if only is None and self.larger_than_others(spec):
+                self.keep_machines(job, wanted)
+            return False
         best: list[tuple[MachineView, int, list[Victim]]] | None = None
         best_cost = 0.0
         for zone in self.zones(spec):
@@ -574,7 +583,7 @@
             if chosen and (best is None or total < best_cost):
                 best, best_cost = chosen, total
         if best is None and spec.gang and only is None:
-            self.keep_machines(job)
+            self.keep_machines(job, wanted)
         for machine, count, victims in best or ():
             coming = machine.look().coming
             for victim in victims:
@@ -587,7 +596,12 @@
             self.claim(machine, spec, count)
         return best is not None and sum(count for _, count, _ in best) >= wanted
 
-    def keep_machines(self, job: JobView) -> None:
+    def larger_than_others(self, spec: JobSpec) -> bool:
+        """Whether something that waits needs less than a task of this job."""
+        needs = zip((spec.cpus, spec.gpus, spec.ram), self.floor, strict=True)
+        return any(need > least + 2 * EPS for need, least in needs)
+
+    def keep_machines(self, job: JobView, wanted: int) -> None:
         """Nothing may be stopped: let the machines that are free soonest run empty."""
         spec = job.spec
         best: list[tuple[float, str, MachineView, int]] | None = None
@@ -600,17 +614,19 @@
                 if count:
                     options.append((wait, machine.name, machine, count))
             options.sort(key=lambda x: x[:2])
-            chosen, left = [], spec.tasks
+            chosen, left = [], wanted
             for option in options:
                 if left <= 0:
                     break
                 chosen.append(option)
                 left -= option[3]
-            if left <= 0 and (best is None or chosen[-1][0] < best[-1][0]):
+            enough = bool(chosen) and (left <= 0 or not spec.gang)
+            if enough and (best is None or chosen[-1][0] < best[-1][0]):
                 best = chosen
-        for _, _, machine, _ in best or ():
+        for wait, _, machine, _ in best or ():
             assert best is not None
-            machine.kept_for = best[-1][0]
+            # A gang begins when the last of its machines is free, others one by one.
+            machine.kept_for = best[-1][0] if spec.gang else wait
 
     def room_with_victims(
         self, machine: MachineView, job: JobView, wanted: int
