--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -255,16 +255,13 @@
         record = records.done_record(job.done, block, self.block)
         change = Change({}, [Put(records.done_key(job.spec.id, block), record)])
 
-        def stored(written: asyncio.Future[int]) -> None:
-            if written.cancelled() or written.exception() is not None:
-                return
+        def stored() -> None:
             for low, high in record["done"]:
                 job.stored.add(low, high)
             if job.done.first_outside(job.stored) is not None:
                 self.note_done(job)
 
-        change.done.add_done_callback(stored)
-        return change
+        return change.then(stored)
 
     def _spawn(self, coro: Any) -> None:
         task = asyncio.create_task(coro)
@@ -307,17 +304,14 @@
         limit = self.params.state.txn_ops
         change = Change({}, ops[:limit])
 
-        def archived(written: asyncio.Future[int]) -> None:
-            if written.cancelled() or written.exception() is not None:
-                return
+        def archived() -> None:
             self.writer.versions.pop(records.PAST + job_id, None)  # never written again
             self.books.past[job_id] = standing
             self.books.jobs.pop(job_id, None)
             for op in ops[limit:]:
                 self.writer.submit([op])
 
-        change.done.add_done_callback(archived)
-        return change
+        return change.then(archived)
 
     # --- following the store -------------------------------------------------
     async def follow(self, revision: int) -> None:
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -137,10 +137,9 @@
 
     def _cut_off(self, now: float) -> bool:
         """Neither store nor peers answer: others may serve, this controller can't."""
-        store = now - self.store.last_good < c.STORE_FRESH_S and not self.store.failing
         return (
             bool(self.settings.peers)
-            and not store
+            and not self.store.fresh()
             and not self.peers.heard_any(now, c.PEER_FRESH_S)
         )
 
@@ -157,9 +156,7 @@
 
     def _steward(self) -> str | None:
         """Who leads, as far as that is known now: a name from before a cut helps nobody."""
-        now = self.loop.time()
-        fresh = now - self.store.last_good < c.STORE_FRESH_S and not self.store.failing
-        name = self.election.leader if fresh else self.peers.leading()
+        name = self.election.leader if self.store.fresh() else self.peers.leading()
         return None if name == self.settings.name else name
 
     async def _checkin(self, request: Request) -> Response:
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -608,8 +608,8 @@
         for zone in self.zones(spec):
             options = []
             for machine in self.usable(job, zone):
-                if machine.kept_for is not None:
-                    continue  # for a gang before this one: it would need others
+                if machine.kept_for is not None and not spec.gang:
+                    continue  # a gang waits for it
                 wait, count = free_in(machine, spec)
                 if count:
                     options.append((wait, machine.name, machine, count))
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -23,8 +23,8 @@
     latest_start,
 )
 from peathall.settings import Params
-from peathall.store.client import Drop, Item, Put
-from peathall.store.writer import Change, Writer
+from peathall.store.client import Item, Put
+from peathall.store.writer import Writer
 from peathall.wire.body import json_size
 from peathall.wire.names import JobSpec
 from peathall.workers.model import Machine, MachinePhase
@@ -103,7 +103,7 @@
 
     def _round_over(self, key: str) -> None:
         if key in self.writer.versions:
-            self.writer.offer(key, lambda: Change({}, [Drop(key)]))
+            self.writer.offer_drop(key)
 
     # --- rounds --------------------------------------------------------------
     def nudge(self) -> None:
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -86,6 +86,10 @@
             self.limits.write_rps * self._share(c.LEADER_WRITE_SHARE, leading), now
         )
 
+    def fresh(self) -> bool:
+        """What we know from the service is no older than a watch's hold."""
+        return self.loop.time() - self.last_good < c.STORE_FRESH_S and not self.failing
+
     def spare_writes(self) -> float:
         return self.writes.spare(self.loop.time())
 
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -46,6 +46,11 @@
         self.done.add_done_callback(lambda f: f.cancelled() or f.exception())
         self.size = sum(json_size(op.to_wire()) for op in ops)
 
+    def then(self, action: Callable[[], None]) -> Change:
+        """`action` runs once the change is stored, and only then."""
+        self.done.add_done_callback(lambda f: None if f.cancelled() or f.exception() else action())
+        return self
+
 
 class WriterPhase(Enum):
     IDLE = auto()
@@ -105,6 +110,9 @@
             self.spare[name] = make
             self.wake.set()
 
+    def offer_drop(self, key: str) -> None:
+        self.offer(f"drop {key}", lambda: Change({}, [Drop(key)]))
+
     def stop(self) -> None:
         self._enter(WriterPhase.STOPPED)
         self.spare.clear()
--- a/peathall/workers/caches.py
+++ b/peathall/workers/caches.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from peathall.books import Books
-from peathall.store.client import Drop, Item, Put
+from peathall.store.client import Item, Put
 from peathall.store.writer import Change, Writer
 from peathall.workers.model import Machine
 
@@ -43,13 +43,10 @@
     def gone(self, machine: Machine) -> None:
         key = CACHE + machine.name
         if key in self.writer.versions:
-            self._drop(key)
-
-    def _drop(self, key: str) -> None:
-        self.writer.offer(f"drop {key}", lambda: Change({}, [Drop(key)]))
+            self.writer.offer_drop(key)
 
     def forget_unknown(self) -> None:
         """Records of machines that are no more, after the cloud's list was read."""
         for name in [n for n in self.loaded if n not in self.books.machines]:
             del self.loaded[name]
-            self._drop(CACHE + name)
+            self.writer.offer_drop(CACHE + name)
