--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -349,13 +349,17 @@
         return c.IDLE_BOOTS * size.boot_s * dearer
 
     async def _return(self) -> None:
+        while await self._return_some() == c.DELETE_MAX:
+            pass  # there are more than one request may name
+
+    async def _return_some(self) -> int:
         now = self.loop.time()
         chosen = self._to_delete(now)
         # A request with more names than the protocol allows would be refused for ever.
         room = c.DELETE_MAX - len(chosen)
         extra, self.failed = self.failed[:room], self.failed[room:]
         if not chosen and not extra:
-            return
+            return 0
         for machine in chosen:
             machine.enter(MachinePhase.DELETING)
         try:
@@ -369,6 +373,7 @@
             if self.books.machines.get(machine.name) is machine:  # not listed as failed meanwhile
                 self.workers.machine_gone(machine, now, "deleted")
         self.on_change()
+        return len(chosen) + len(extra)
 
     # --- renting -------------------------------------------------------------
     async def _rent(self) -> None:
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -116,8 +116,9 @@
         for number in range(230):
             add(workers, number, now - 1.0)
         fleet._compare([listed(n, "failed") for n in range(300, 390)], now)
-        while fleet.failed or workers.books.machines:
-            await fleet._return()
+        await fleet._return()
+        assert not fleet.failed
+        assert not workers.books.machines
         assert max(map(len, cloud.deleted)) == c.DELETE_MAX
         assert len({name for names in cloud.deleted for name in names}) == 230 + 90
 
