--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -296,9 +296,7 @@
     start = job.latest_start + c.EFFORT_WEIGHT * effort(job, totals)
     if job.aged:
         return (-1, spec.submitted)
-    # What needs a GPU finds room on fewer machines than what needs none, which would take the
-    # last CPUs of machines whose GPUs then stand idle.
-    return (spec.priority, not job.covered, not spec.gang, not spec.gpus, start, spec.submitted)
+    return (spec.priority, not job.covered, not spec.gang, start, spec.submitted)
 
 
 class Round:
@@ -329,18 +327,17 @@
             self.groups[key].machines.append(machine)
         self.zone_names = list(dict.fromkeys(m.zone for m in machines))
         self.floor = (0.0, 0.0, 0.0)
-        # How many machines have room for one more task of each of `shapes`.
-        self.roomy = [
-            sum(m.fits(shape) > 0 for g in self.groups.values() if allowed(g, shape)
-                for m in g.machines)
-            for shape in shapes
-        ]  # fmt: skip
+        self.roomy: list[int] = []  # see _count_roomy
 
     def run(self, jobs: list[JobView]) -> Iterator[None]:
         """Job by job, so that the caller can let others have their turn in between."""
         waiting = [job for job in jobs if job.todo > 0]
         if not waiting:
             return
+        if any(not job.spec.gang and not job.urgent for job in waiting):
+            self._count_roomy()
+        else:
+            self.shapes = ()  # nobody will spare anything
         totals = (sum(m.cpus for m in self.machines), sum(m.gpus for m in self.machines))
         specs = [job.spec for job in waiting]
         # A machine without room for the least that any job needs is not looked at again.
@@ -357,6 +354,14 @@
             yield
         self.plan.leftover = {m.name: m.free for m in self.machines}
 
+    def _count_roomy(self) -> None:
+        """How many machines have room for one more task of each of `shapes`."""
+        self.roomy = [
+            sum(m.fits(shape) > 0 for g in self.groups.values() if allowed(g, shape)
+                for m in g.machines)
+            for shape in self.shapes
+        ]  # fmt: skip
+
     def _narrow(self, group: Group) -> None:
         cpus, gpus, ram = self.floor
         group.open = [
@@ -550,13 +555,9 @@
         up again piece by piece while a larger one waits for it.
         """
         spec = job.spec
-        if not job.urgent and not job.covered:
-            return False
         if not spec.gang and not job.covered and spec.priority >= self.lowest:
-            # Nobody may be stopped. Smaller tasks would take the room of those that end one
-            # by one, and a larger one would never find enough together.
-            if only is None and self.larger_than_others(spec):
-                self.keep_machines(job, wanted)
+            return False  # nobody may be stopped, and independent tasks need no room together
+        if not job.urgent and not job.covered:
             return False
         best: list[tuple[MachineView, int, list[Victim]]] | None = None
         best_cost = 0.0
@@ -583,7 +584,7 @@
             if chosen and (best is None or total < best_cost):
                 best, best_cost = chosen, total
         if best is None and spec.gang and only is None:
-            self.keep_machines(job, wanted)
+            self.keep_machines(job)
         for machine, count, victims in best or ():
             coming = machine.look().coming
             for victim in victims:
@@ -596,37 +597,28 @@
             self.claim(machine, spec, count)
         return best is not None and sum(count for _, count, _ in best) >= wanted
 
-    def larger_than_others(self, spec: JobSpec) -> bool:
-        """Whether something that waits needs less than a task of this job."""
-        needs = zip((spec.cpus, spec.gpus, spec.ram), self.floor, strict=True)
-        return any(need > least + 2 * EPS for need, least in needs)
-
-    def keep_machines(self, job: JobView, wanted: int) -> None:
+    def keep_machines(self, job: JobView) -> None:
         """Nothing may be stopped: let the machines that are free soonest run empty."""
         spec = job.spec
         best: list[tuple[float, str, MachineView, int]] | None = None
         for zone in self.zones(spec):
             options = []
             for machine in self.usable(job, zone):
-                if machine.kept_for is not None and not spec.gang:
-                    continue  # a gang waits for it
                 wait, count = free_in(machine, spec)
                 if count:
                     options.append((wait, machine.name, machine, count))
             options.sort(key=lambda x: x[:2])
-            chosen, left = [], wanted
+            chosen, left = [], spec.tasks
             for option in options:
                 if left <= 0:
                     break
                 chosen.append(option)
                 left -= option[3]
-            enough = bool(chosen) and (left <= 0 or not spec.gang)
-            if enough and (best is None or chosen[-1][0] < best[-1][0]):
+            if left <= 0 and (best is None or chosen[-1][0] < best[-1][0]):
                 best = chosen
-        for wait, _, machine, _ in best or ():
+        for _, _, machine, _ in best or ():
             assert best is not None
-            # A gang begins when the last of its machines is free, others one by one.
-            machine.kept_for = best[-1][0] if spec.gang else wait
+            machine.kept_for = best[-1][0]
 
     def room_with_victims(
         self, machine: MachineView, job: JobView, wanted: int
