--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -162,11 +162,10 @@
         """Looking, returning and renting go on side by side and share the cloud's calls: a
         slow answer to one must not hold up the others."""
         rest = asyncio.Event()  # never set: these two only follow the clock
-        await asyncio.gather(
-            self._repeat(self._look, rest),
-            self._repeat(self._return, rest),
-            self._repeat(self._rent, self.wake),
-        )
+        async with asyncio.TaskGroup() as loops:
+            loops.create_task(self._repeat(self._look, rest))
+            loops.create_task(self._repeat(self._return, rest))
+            loops.create_task(self._repeat(self._rent, self.wake))
 
     async def _repeat(self, step: Callable[[], Awaitable[None]], wake: asyncio.Event) -> None:
         while True:
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -134,6 +134,7 @@
 
     def out_of_reach(self, now: float) -> bool:
         """Most machines are alive, but don't hear us or are not heard: our own trouble."""
+        self.attend(now)
         up, limit = self.expected(), self.unreached_s()
         lost = [m for m in up if m.deaf_since is not None or self.ignored_us(m, now) > limit]
         return len(lost) > c.OUT_OF_REACH_SHARE * len(up) and any(map(self.knocking(), lost))
@@ -457,7 +458,10 @@
         self.counter += 1
         self.attend(now)
         for machine in list(self.books.machines.values()):
-            if not machine.attempts and machine.phase is not MachinePhase.UNHEARD:
+            # Known from records only: if it still exists, its report or the cloud's list
+            # brings it back.
+            unproven = machine.phase is MachinePhase.UNHEARD and not machine.vouched
+            if not machine.attempts and not unproven:
                 continue
             since = max(machine.last_answer, self.took_over)
             if now - since > self.lapse_s():
@@ -465,9 +469,7 @@
                 machine.confirmed = False
                 self._lost(self.books.release_all(machine, now), now)
                 self.exits.pop(machine.name, None)
-                if machine.phase is MachinePhase.UNHEARD and not machine.vouched:
-                    # Known from records only: if it still exists, its report or the
-                    # cloud's list brings it back.
+                if unproven:
                     self.books.remove_machine(machine, now, "not heard since the take-over")
 
     def machine_gone(self, machine: Machine, now: float, why: str) -> None:
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -143,6 +143,7 @@
                 seq = machine.seq + 1
                 workers.checkin(report(1, seq, workers.token, machine=machine.name), now + second)
         assert idle.usable
+        assert "m-4" not in workers.books.machines
         # One that stays silent was perhaps deleted by the leader before; it goes by its silence.
         fleet._compare([listed(n, age=400.0) for n in (1, 2, 4)], now + 15.0)
         for second in range(16, 31):
