--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -4,23 +4,16 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Any
 
 from peathall import constants as c
-from peathall.books import Books
 from peathall.fleet.planner import Offer
 from peathall.fleet.service import CloudError, Fleet
-from peathall.leadership.lease import first_attempt
 from peathall.placement.planner import JobView
-from peathall.settings import CloudSettings, Params, StateSettings, Team, WorkerSettings
-from peathall.wire.names import ListedMachine, MachineType
+from peathall.wire.names import ListedMachine
 from peathall.workers.model import Machine, MachinePhase
 from peathall.workers.service import Workers
 from tests.unit.test_planner import spec
-from tests.unit.test_workers import report
-
-KIND = MachineType("g", 8.0, 0.0, 16.0, 50.0, 1.0, 10.0, 3.0, 30.0, ["a"])
-TERM = 5
+from tests.unit.test_workers import new_fleet, new_workers, report
 
 
 class Cloud:
@@ -48,16 +41,8 @@
 
 def play(test: Callable[[Fleet, Workers, Cloud], Awaitable[None]]) -> None:
     async def run() -> None:
-        books = Books(TERM, first_attempt(TERM))
-        books.types = {"g": KIND}
-        settings = WorkerSettings(5.0, 24.0, 40.0, 4.0, 40.0)
-        params = Params(settings, StateSettings(9, 9, 8, 9), CloudSettings(4, 4), [Team("t")])
-        now = asyncio.get_running_loop().time()
-        workers = Workers(books, settings, now, lambda: True, lambda job: None, lambda: None, 9)
-        cloud: Any = Cloud()
-        writer: Any = None
-        fleet = Fleet(books, params, cloud, writer, workers, lambda: True, lambda: None, 1e6)
-        await test(fleet, workers, cloud)
+        workers, cloud = new_workers(asyncio.get_running_loop().time()), Cloud()
+        await test(new_fleet(workers, cloud), workers, cloud)
 
     asyncio.run(run())
 
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -35,12 +35,31 @@
     return TaskReport(attempt.job.spec.id, 0, attempt.number, TaskState.RUNNING, None, False)
 
 
+def new_workers(now: float) -> Workers:
+    """Those of a leader that took over at this time and may act."""
+    books = Books(TERM, first_attempt(TERM))
+    books.types = {"g": KIND}
+    settings = WorkerSettings(5.0, 24.0, 40.0, 4.0, 40.0)
+    return Workers(books, settings, now, lambda: True, lambda job: None, lambda: None, 9)
+
+
+def new_fleet(workers: Workers, cloud: Any) -> Fleet:
+    """Idle machines are held for ever, unless a test says otherwise; nothing is written."""
+    params = Params(workers.settings, StateSettings(9, 9, 8, 9), CloudSettings(4, 4), [Team("t")])
+    writer: Any = None
+    return Fleet(workers.books, params, cloud, writer, workers, lambda: True, lambda: None, 1e6)
+
+
+def lone_peers() -> Peers:
+    async def handle(message: dict[str, object]) -> tuple[int, object]:
+        return 200, None
+
+    return Peers([Peer("hall-1", "a", "10.0.0.2:1")], handle)
+
+
 def play(test: Callable[[Workers], None]) -> None:
     async def run() -> None:
-        books = Books(TERM, first_attempt(TERM))
-        books.types = {"g": KIND}
-        settings = WorkerSettings(5.0, 24.0, 40.0, 4.0, 40.0)
-        test(Workers(books, settings, 0.0, lambda: True, lambda job: None, lambda: None, 9))
+        test(new_workers(0.0))
 
     asyncio.run(run())
 
@@ -134,10 +153,7 @@
 
 def test_a_copy_of_a_report_is_no_knock() -> None:
     async def run() -> None:
-        async def handle(message: dict[str, object]) -> tuple[int, object]:
-            return 200, None
-
-        peers = Peers([Peer("hall-1", "a", "10.0.0.2:1")], handle)
+        peers = lone_peers()
         peers.knock("m-1", (1, 7), 0.0)
         assert peers.knocking(1.0) == {"m-1": (1, 7)}
         peers.knock("m-1", (1, 7), 20.0)
@@ -170,10 +186,7 @@
     """A ping once named 500 at most: the other live machines looked silent and were deleted."""
 
     async def run() -> None:
-        async def handle(message: dict[str, object]) -> tuple[int, object]:
-            return 200, None
-
-        peers = Peers([Peer("hall-1", "a", "10.0.0.2:1")], handle)
+        peers = lone_peers()
         for number in range(970):
             peers.knock(f"m-{number}", (1, 7), peers.loop.time())
         asked = await peers.serve(Request("GET", "/ping", "knocks", b""))
@@ -211,13 +224,7 @@
 
 def test_machines_that_hear_nothing_or_are_only_late_copies_are_returned() -> None:
     def test(workers: Workers) -> None:
-        nothing: Any = None
-        params = Params(
-            workers.settings, StateSettings(9, 9, 8, 9), CloudSettings(4, 4), [Team("t")]
-        )
-        fleet = Fleet(
-            workers.books, params, nothing, nothing, workers, lambda: True, lambda: None, 1e6
-        )
+        fleet = new_fleet(workers, None)
 
         def returned(now: float) -> list[str]:
             return [m.name for m in fleet._to_delete(now)]
