--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -16,13 +16,24 @@
 CONNECT_S = 1.0  # s; connections behind a cut hang without an error
 POOL_IDLE_S = 20.0  # s; a pooled connection unused for longer is not trusted any more
 
+# --- turns, while more is asked than can be served ------------------------------
+CHECKIN_TURN_S = 3.0  # s; a worker waits 4 s for its answer
+CHANGE_TURN_S = 3.5  # s; a user waits 5 s for a submission or cancellation
+QUERY_TURN_S = 1.2  # s; a user waits 2 s for the answer to a poll
+
 # --- state service ----------------------------------------------------------
 STORE_TIMEOUT_S = 1.5  # s; answers take 10 ms, now and then a few hundred
+READS_KEEP = 0.25  # of a second's requests are kept for commits: polls may cost reads, and were
+# once so many that no commit found its turn any more
 STORE_RETRY_S = 0.25  # s; pause after 429, 503 or silence, so that an outage costs few requests
 LEADER_RPS_SHARE = 0.4  # of the request budget; the followers' watches and fallbacks share the rest
 LEADER_WRITE_SHARE = 0.75  # of the write budget; the followers' accepts without a leader, the rest
 KNOWN_JOBS = 20_000  # jobs of which a follower remembers what it read, some 300 bytes each
 SPARE_WAIT_S = 0.25  # s; before the write budget is looked at again for what may wait
+SPARE_MOST_S = 3.0  # s; then what may wait is written one by one, budget or not: workers' ends
+# are reported until they are stored, and a report has a limit
+ARCHIVE_AT_ONCE = 3  # jobs of one record archived in one change: together with the record's
+# new state no more changes than a busy store has to spare
 WATCH_HOLD_S = 6.0  # s; a watch behind a silent cut is noticed after this plus the timeout
 VALUE_FILL = 0.85  # of value_kb is used, since the limit counts another encoding than we measure
 TXN_BYTES = 48 * 1024  # bytes of one transaction, kept clear of the 64 KiB limit
@@ -57,7 +68,7 @@
 ERROR_BACKOFF_MAX_S = 60.0  # s; a mistaken job stays until its user cancels it
 SAVE_GRACE_S = 3.0  # s; added to the time that a task needs to save
 FORGET_CACHES_S = 60.0  # s; after a take-over every living machine has reported or is listed
-KNOWN_TASK_REPORTS = 12_000  # sentences of reports that are recognised, some 700 bytes each
+KNOWN_TASK_REPORTS = 24_000  # sentences of reports that are recognised, some 700 bytes each
 PATIENT_ORDERS = 40.0  # a second and core: direct orders for tasks that could wait for their
 # machine's next report, at most; each costs the leader about as much as a report
 GC_OBJECTS = 20_000  # new objects between looks for cyclic garbage: asyncio makes little of it
@@ -104,7 +115,8 @@
 
 # --- peers ------------------------------------------------------------------
 FORWARD_S = 1.2  # s; a query's user waits 2 s, so the store can still be asked
-FORWARD_ACCEPT_S = 0.1  # s; creating the job in the store ourselves is as good, and sooner
+FORWARD_ACCEPT_S = 0.1  # s; a leader that answers nobody for so long is left out: creating the
+# job in the store ourselves is as good, and sooner
 ACCEPT_S = 1.5  # s; a commit usually takes 10 ms; after this the user is told when to come back
 RETRY_AFTER_S = 1  # s; told with 503: the earliest at which users come back
 FALLBACK_S = 0.7  # s; asking the store itself must leave time for the answer
--- a/peathall/jobs/fallback.py
+++ b/peathall/jobs/fallback.py
@@ -10,7 +10,8 @@
 
 from peathall import constants as c
 from peathall.jobs import records
-from peathall.jobs.service import Answer, can_never_run
+from peathall.jobs.live import Live
+from peathall.jobs.service import NOT_NOW, Answer, can_never_run
 from peathall.settings import Params
 from peathall.store.client import ConflictError, Put, StateClient
 from peathall.wire import names
@@ -18,63 +19,64 @@
 
 
 class Fallback:
-    """What this controller has read itself saves later reads: that a job was accepted, and
-    how it ended, never change. While controllers can't reach one another, the polls of all
-    users would otherwise use up the request budget, and accepts would wait behind them."""
+    """While controllers can't reach one another, the polls of all users come here. What is
+    not archived is known from `live`; how an archived job ended never changes, so that what
+    was read of it saves later reads."""
 
     def __init__(self, store: StateClient, params: Params) -> None:
         self.store = store
         self.params = params
+        self.live = Live(store)
         self.types: dict[str, MachineType] = {}
-        self.known: OrderedDict[str, Answer | None] = OrderedDict()  # id -> its end, if over
+        self.over: OrderedDict[str, Answer] = OrderedDict()
 
-    def _learn(self, job_id: str, end: Answer | None) -> None:
-        self.known[job_id] = end
-        self.known.move_to_end(job_id)
-        if len(self.known) > c.KNOWN_JOBS:
-            self.known.popitem(last=False)
+    def _learn(self, job_id: str, end: Answer) -> Answer:
+        self.over[job_id] = end
+        self.over.move_to_end(job_id)
+        if len(self.over) > c.KNOWN_JOBS:
+            self.over.popitem(last=False)
+        return end
 
     async def query(self, job_id: str) -> Answer:
-        end = self.known.get(job_id)
+        end = self.over.get(job_id)
         if end is not None:
             return end
-        accepted = job_id in self.known
-        if not accepted:
-            accepted = await self.store.get(records.JOB + job_id) is not None
-        # `past` is read last: whoever moved the job there meanwhile may have told of its end.
-        for prefix in (records.FATE, records.PAST) if accepted else (records.PAST,):
-            record = await self.store.get(prefix + job_id)
-            if record is not None:
-                end = final(job_id, record.value)
-                self._learn(job_id, end)
-                return end
-        if not accepted:
-            return 404, None
-        self._learn(job_id, None)
-        return 200, names.job_status(job_id, Standing.QUEUED)
+        await self.live.refresh()
+        return await self._known(job_id) or (404, None)
+
+    async def _known(self, job_id: str) -> Answer | None:
+        """As `live` has it just now, and else from what is archived. Whoever archives a job
+        takes it out of `live` in the same commit, so what stands there is not over yet."""
+        if job_id in self.live.held:
+            end = self.live.ends.get(job_id)
+            if end is not None:
+                return self._learn(job_id, final(job_id, *end))
+            return 200, names.job_status(job_id, Standing.QUEUED)
+        past = await self.store.get(records.PAST + job_id)
+        if past is None:
+            return None
+        return self._learn(job_id, final(job_id, past.value["standing"], past.value.get("done")))
 
     async def accept(self, spec: JobSpec) -> Answer:
-        if spec.id in self.known:
-            return await self.query(spec.id)
-        if self.types and can_never_run(spec, self.types, self.params) is None:
+        if spec.id in self.over:
+            return self.over[spec.id]
+        await self.live.refresh()
+        if spec.id not in self.live.held:
+            if not self.types:
+                return await self._known(spec.id) or NOT_NOW
+            why = can_never_run(spec, self.types, self.params)
+            if why is not None:
+                return await self._known(spec.id) or (422, {"error": why})
             try:
                 await self.store.commit(
                     {records.JOB + spec.id: 0, records.PAST + spec.id: 0},
                     [Put(records.JOB + spec.id, names.spec_to_record(spec))],
                 )
-            except ConflictError:
-                pass  # accepted before, perhaps over already
-            else:
-                self._learn(spec.id, None)
                 return 201, names.job_status(spec.id, Standing.QUEUED)
-        known = await self.query(spec.id)
-        if known[0] == 200:
-            return known
-        why = can_never_run(spec, self.types, self.params) if self.types else None
-        return (422, {"error": why}) if why is not None else (503, None)
+            except ConflictError:
+                await self.live.refresh()  # accepted before, perhaps over already
+        return await self._known(spec.id) or NOT_NOW
 
 
-def final(job_id: str, record: dict[str, object]) -> Answer:
-    done = record.get("done", 0)
-    standing = Standing(record["standing"])
-    return 200, names.job_status(job_id, standing, done if isinstance(done, int) else 0)
+def final(job_id: str, standing: str, done: int | None) -> Answer:
+    return 200, names.job_status(job_id, Standing(standing), done or 0)
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -76,7 +76,9 @@
         "attempts",
         "backoff_until",
         "done",
+        "end",
         "failed_on",
+        "home",
         "idle_since",
         "phase",
         "settling",
@@ -96,8 +98,10 @@
         self.attempts: dict[int, Attempt] = {}
         self.failed_on: dict[str, None] = {}  # machines on which its tasks failed, in order
         self.backoff_until = 0.0
+        self.home = ""  # key of the record that holds it
+        self.end = ""  # key of the record that holds its final state
         self.writing = False  # done ranges are on their way to the store
-        self.settling: asyncio.Future[int] | None = None  # its final state is on its way there
+        self.settling: asyncio.Future[str] | None = None  # its final state is on its way there
 
     def enter(self, phase: JobPhase) -> None:
         if self.phase is JobPhase.ACTIVE:
--- a/peathall/jobs/records.py
+++ b/peathall/jobs/records.py
@@ -1,12 +1,14 @@
 """Keys and values of a job's records in the state service.
 
-    job/ID      the job as accepted; dropped when it is archived
-    fate/ID     its final state, written before anyone is told of it
-    done/ID/B   done tasks of block B as ranges, so that a record stays under the limit
-    past/ID     the final state of an archived job; kept for good
-
-A job is archived (past/ID written, the others dropped, in one commit) once it is
-final and none of its attempts can exist any more.
+    live/jobs/T-N  jobs as a leader accepted them: all that waited for one transaction
+    live/job/ID    a job as another controller accepted it while no leader answered
+    live/ends/T-N  final states, likewise all of one transaction; stored before anyone is told
+    done/ID/B      done tasks of block B as ranges, so that a record stays under the limit
+    past/ID        the final state of an archived job; kept for good
+
+A job is archived (past/ID written and the job taken out of its record, in one commit) once
+it is final and none of its attempts can exist any more. What is known of a job that is not
+archived thus stands under one prefix, and one read of its news tells all there is.
 """
 
 from __future__ import annotations
@@ -17,8 +19,10 @@
 from peathall.jobs.ranges import Ranges
 from peathall.wire.names import Standing
 
-JOB = "job/"
-FATE = "fate/"
+LIVE = "live/"
+JOB = "live/job/"
+JOBS = "live/jobs/"
+ENDS = "live/ends/"
 DONE = "done/"
 PAST = "past/"
 
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -12,8 +12,17 @@
 from peathall.jobs import records
 from peathall.jobs.model import Job, JobPhase
 from peathall.settings import Params
-from peathall.store.client import ConflictError, Drop, Item, Put, StateClient, StoreError
-from peathall.store.writer import Change, DeposedError, Writer
+from peathall.store.client import Change as StoreChange
+from peathall.store.client import (
+    ConflictError,
+    Drop,
+    Item,
+    Put,
+    SharedRead,
+    StateClient,
+    StoreError,
+)
+from peathall.store.writer import Change, DeposedError, Gather, Writer
 from peathall.wire import names
 from peathall.wire.names import JobSpec, MachineType, Standing
 
@@ -65,49 +74,77 @@
         self.on_cancelled = on_cancelled
         self.wall = wall
         self.block = records.block_tasks(params.state.value_kb)
-        self.accepting: dict[str, asyncio.Future[int]] = {}
+        self.accepting: dict[str, asyncio.Future[str]] = {}
+        self.new_jobs = Gather(writer, books.term, records.JOBS, "jobs")
+        self.new_ends = Gather(writer, books.term, records.ENDS, "ends")
+        self.news = SharedRead(self._read_news)
+        self.revision = 0  # up to which jobs accepted elsewhere are known
+        self.homes: dict[str, dict[str, None]] = {}  # record -> its jobs that are not archived
+        self.ends_left: dict[str, set[str]] = {}  # record of final states -> the same
+        self.archiving: set[str] = set()  # records that are being written without some jobs
         self.tasks: set[asyncio.Task[None]] = set()
 
     # --- records -------------------------------------------------------------
-    def load(self, jobs: list[Item], fates: list[Item], done: list[Item]) -> None:
-        for item in jobs:
-            self.adopt(item)
-        for item in fates:
-            job = self.books.jobs.get(item.key.removeprefix(records.FATE))
+    def load(self, live: list[Item], done: list[Item], revision: int) -> None:
+        self.revision = revision
+        for item in live:
             self.writer.versions[item.key] = item.version
-            if job is not None:
-                self._final(job, Standing(item.value["standing"]))
+        # Jobs before their ends, and records that hold several before their twins.
+        for item in live:
+            if item.key.startswith(records.JOBS):
+                for record in item.value["jobs"]:
+                    self.adopt(record, item.key)
+        for item in live:
+            if item.key.startswith(records.JOB):
+                self.adopt(item.value, item.key)
+        for item in live:
+            if item.key.startswith(records.ENDS):
+                for job_id, standing, _ in item.value["ends"]:
+                    if job_id in self.books.jobs:
+                        self._final(self.books.jobs[job_id], Standing(standing), item.key)
+                if item.key not in self.ends_left:
+                    self.writer.offer_drop(item.key)
         for item in done:
             self.writer.versions[item.key] = item.version
             job = self.books.jobs.get(item.key.removeprefix(records.DONE).rpartition("/")[0])
             if job is None:
-                # Left over from an archived job with many blocks.
-                self.writer.submit([Drop(item.key)])
+                self.writer.offer_drop(item.key)
                 continue
             for low, high in item.value["done"]:
                 job.done.add(low, high)
                 job.stored.add(low, high)
                 job.todo.remove(low, high)
 
-    def adopt(self, item: Item) -> Job:
+    def adopt(self, record: dict[str, Any], home: str) -> Job:
         """A job that stands in the store, whoever wrote it there."""
-        job_id = item.key.removeprefix(records.JOB)
-        job = self.books.jobs.get(job_id)
+        spec = names.spec_from_record(record)
+        job = self.books.jobs.get(spec.id)
         if job is None:
-            spec = names.spec_from_record(item.value)
             now = asyncio.get_running_loop().time()
-            job = self.books.jobs[job_id] = Job(spec, now - max(0.0, self.wall() - spec.submitted))
-            self.writer.versions[item.key] = item.version
+            job = self.books.jobs[spec.id] = Job(spec, now - max(0.0, self.wall() - spec.submitted))
+            job.home = home
+            self.homes.setdefault(home, {})[spec.id] = None
             self.books.last_arrival = now
             self.on_change()
+        elif job.home != home:
+            # Accepted here and, while no answer of ours got through, elsewhere as well: the
+            # record that holds it alone goes.
+            alone = home if home.startswith(records.JOB) else job.home
+            if alone == job.home:
+                del self.homes[job.home]
+                job.home = home
+                self.homes.setdefault(home, {})[spec.id] = None
+            self.writer.offer_drop(alone)
         return job
 
-    def _final(self, job: Job, standing: Standing) -> None:
+    def _final(self, job: Job, standing: Standing, end: str) -> None:
         if standing is Standing.DONE:
             job.mark_all_done()
             job.enter(JobPhase.DONE)
         else:
             job.enter(JobPhase.CANCELLED)
+        job.end = end
+        self.ends_left.setdefault(end, set()).add(job.spec.id)
 
     def resume(self) -> None:
         """After the rebuild: finish what an earlier leader left half done."""
@@ -131,18 +168,18 @@
         if why is not None:
             return 422, {"error": why}
         record = names.spec_to_record(spec)
-        put = Put(records.JOB + spec.id, record)
-        pending = self.writer.submit([put], {records.PAST + spec.id: 0})
-        self.accepting[spec.id] = pending
+        # Neither archived, nor accepted by another controller.
+        absent = {records.PAST + spec.id: 0, records.JOB + spec.id: 0}
+        pending = self.accepting[spec.id] = self.new_jobs.add(record, absent)
         try:
-            version = await pending
+            home = await pending
         except ConflictError:
             # Another controller accepted it, or it is over already.
             found = await self._read(spec.id)
             return found if found is not None else NOT_NOW
         finally:
             self.accepting.pop(spec.id, None)
-        self.adopt(Item(put.key, record, version))
+        self.adopt(record, home)
         return 201, names.job_status(spec.id, Standing.QUEUED)
 
     async def _known(self, job_id: str) -> Answer | None:
@@ -163,27 +200,32 @@
         return None
 
     async def _read(self, job_id: str) -> Answer | None:
-        """Ask the store itself; a job found there becomes known here."""
-        item = await self.store.get(records.JOB + job_id)
-        if item is not None:
-            known = await self._known(job_id)
-            if known is not None:
-                return known
-            past = await self.store.get(records.PAST + job_id)
-            if past is None:
-                return 200, self.status(self.adopt(item))
-        else:
-            past = await self.store.get(records.PAST + job_id)
+        """Ask the store itself; what is found there becomes known here."""
+        await self.news.fresh()
+        known = await self._known(job_id)
+        if known is not None:
+            return known
+        past = await self.store.get(records.PAST + job_id)
         if past is None:
             return None
         standing = Standing(past.value["standing"])
-        self.books.past[job_id] = standing
+        self._remember(job_id, standing)
         return 200, names.job_status(job_id, standing, past.value.get("done", 0))
 
+    def _remember(self, job_id: str, standing: Standing) -> None:
+        self.books.past[job_id] = standing
+        if len(self.books.past) > c.KNOWN_JOBS:
+            del self.books.past[next(iter(self.books.past))]
+
     async def query(self, job_id: str) -> Answer:
         known = await self._known(job_id) or await self._read(job_id)
         return known if known is not None else (404, None)
 
+    def told(self, job_id: str) -> Answer | None:
+        """What can be told at once, from memory: nearly all questions are answered so."""
+        job = self.books.jobs.get(job_id)
+        return (200, self.status(job)) if job is not None and job.settling is None else None
+
     def status(self, job: Job) -> dict[str, Any]:
         done = job.spec.tasks if job.phase is JobPhase.DONE else len(job.stored)
         running = job.running if job.phase is JobPhase.ACTIVE else 0
@@ -207,18 +249,13 @@
     # --- fates ---------------------------------------------------------------
     async def _settle(self, job: Job, standing: Standing) -> None:
         """Store the final state; only then does anyone hear of it."""
-        record = records.final_record(standing, len(job.done))
-        job.settling = self.writer.submit([Put(records.FATE + job.spec.id, record)])
+        entry = [job.spec.id, standing.value, len(job.done)]
+        job.settling = self.new_ends.add(entry)
         try:
-            await job.settling
-        except ConflictError:
-            # Not what we thought stands there: learn it, and whoever asked tries again.
-            found = await self.store.get(records.FATE + job.spec.id)
-            self.writer.versions[records.FATE + job.spec.id] = found.version if found else 0
-            raise
+            end = await job.settling
         finally:
             job.settling = None
-        self._final(job, standing)
+        self._final(job, standing, end)
         log.info("job %s is %s", job.spec.id, standing.name.lower())
         if standing is Standing.CANCELLED:
             self.on_cancelled(job)
@@ -283,62 +320,99 @@
             self.note_done(job)
 
     def archive_if_over(self, job: Job) -> None:
-        if job.phase is JobPhase.ACTIVE or job.attempts or job.writing:
-            return
-        if self.books.jobs.get(job.spec.id) is job:
-            self.writer.offer(records.PAST + job.spec.id, lambda: self._archive_change(job))
-
-    def _archive_change(self, job: Job) -> Change | None:
-        job_id = job.spec.id
-        if job.attempts or job.writing or self.books.jobs.get(job_id) is not job:
+        if self._is_over(job) and self.books.jobs.get(job.spec.id) is job:
+            self.writer.offer(job.home, lambda: self._archive_change(job.home))
+
+    @staticmethod
+    def _is_over(job: Job) -> bool:
+        return job.phase is not JobPhase.ACTIVE and not job.attempts and not job.writing
+
+    def _archive_change(self, home: str) -> Change | None:
+        """Some of a record's jobs that are over, and the record without them."""
+        if home in self.archiving:
+            return None  # looked after again once that is done
+        here = [self.books.jobs[job_id] for job_id in self.homes.get(home, ())]
+        over = [job for job in here if self._is_over(job)][: c.ARCHIVE_AT_ONCE]
+        if not over:
             return None
-        job.writing = True
-        standing = job.standing
+        rest = [names.spec_to_record(job.spec) for job in here if job not in over]
         ops: list[Put | Drop] = [
-            Put(records.PAST + job_id, records.final_record(standing, len(job.done)))
+            Put(records.PAST + job.spec.id, records.final_record(job.standing, len(job.done)))
+            for job in over
         ]
-        keys = [records.JOB + job_id, records.FATE + job_id]
-        last = (job.spec.tasks - 1) // self.block
-        keys += [records.done_key(job_id, block) for block in range(last + 1)]
-        ops += [Drop(key) for key in keys if key in self.writer.versions]
-        limit = self.params.state.txn_ops
-        change = Change({}, ops[:limit])
-
-        def archived() -> None:
+        ops.append(Put(home, {"jobs": rest}) if rest else Drop(home))
+        # Another controller may have accepted it as well, unknown to us: that record would
+        # bring the job back to life after it has been archived.
+        twins = {records.JOB + job.spec.id: 0 for job in over if job.home.startswith(records.JOBS)}
+        self.archiving.add(home)
+        for job in over:
+            job.writing = True
+        change = Change(twins, ops)
+        change.done.add_done_callback(lambda done: self._archived(home, over, done))
+        return change
+
+    def _archived(self, home: str, over: list[Job], done: asyncio.Future[int]) -> None:
+        self.archiving.discard(home)
+        for job in over:
+            job.writing = False
+        if done.cancelled() or done.exception() is not None:
+            for job in over:
+                self._spawn(self._find_twin(job.spec.id))
+            return
+        for job in over:
+            job_id = job.spec.id
             self.writer.versions.pop(records.PAST + job_id, None)  # never written again
-            self.books.past[job_id] = standing
-            self.books.jobs.pop(job_id, None)
-            for op in ops[limit:]:
-                self.writer.submit([op])
+            self._remember(job_id, job.standing)
+            del self.books.jobs[job_id]
+            del self.homes[home][job_id]
+            self.ends_left[job.end].discard(job_id)
+            if not self.ends_left[job.end]:
+                del self.ends_left[job.end]
+                self.writer.offer_drop(job.end)
+            last = (job.spec.tasks - 1) // self.block
+            for key in (records.done_key(job_id, block) for block in range(last + 1)):
+                if key in self.writer.versions:
+                    self.writer.offer_drop(key)
+        if not self.homes[home]:
+            del self.homes[home]
+
+    async def _find_twin(self, job_id: str) -> None:
+        item = await self.store.get(records.JOB + job_id)
+        if item is not None:
+            self._twin(item)
 
-        return change.then(archived)
+    def _twin(self, item: Item) -> None:
+        """A job as another controller accepted it: new to us, or known in another record."""
+        self.writer.versions[item.key] = item.version
+        self.adopt(item.value, item.key)
 
     # --- following the store -------------------------------------------------
-    async def follow(self, revision: int) -> None:
+    async def follow(self) -> None:
         """Learn of jobs that other controllers accepted while they could not reach us."""
         while True:
             try:
-                result = await self.store.watch(records.JOB, revision)
-                if result is None:
-                    items, revision = await self.store.scan(records.JOB)
-                    for item in items:
-                        await self._adopt_news(item)
-                    continue
-                revision, changes = result
-                for change in changes:
-                    if not change.deleted:
-                        await self._adopt_news(Item(change.key, change.value, change.version))
+                await self._take(await self.store.watch(records.JOB, self.revision))
             except StoreError as exc:
                 log.debug("watching jobs: %s", exc)
                 await asyncio.sleep(c.STORE_RETRY_S)
 
-    async def _adopt_news(self, item: Item) -> None:
-        job_id = item.key.removeprefix(records.JOB)
-        if job_id not in self.books.jobs and job_id not in self.books.past:
-            if job_id in self.accepting:
-                return
-            await self._read(job_id)
+    async def _read_news(self) -> None:
+        await self._take(await self.store.news(records.JOB, self.revision))
+
+    async def _take(self, news: tuple[int, list[StoreChange]] | None) -> None:
+        if news is None:
+            items, self.revision = await self.store.scan(records.JOB)
+        else:
+            revision, changes = news
+            items = [Item(x.key, x.value, x.version) for x in changes if not x.deleted]
+            self.revision = max(self.revision, revision)
+        for item in items:
+            # Whoever wrote it made sure that it was not archived, and we alone archive.
+            if item.key.removeprefix(records.JOB) not in self.books.past:
+                self._twin(item)
 
     def close(self) -> None:
+        self.new_jobs.close()
+        self.new_ends.close()
         for task in list(self.tasks):
             task.cancel()
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -119,7 +119,7 @@
         writing = asyncio.create_task(self.writer.run())
         tasks = [writing]
         try:
-            revision = await self._rebuild()
+            await self._rebuild()
             self.enter(LeaderPhase.SERVING)
             self.jobs.resume()
             self.ready.set()
@@ -130,7 +130,7 @@
                 len(self.books.machines),
             )
             for coro in (
-                self.jobs.follow(revision),
+                self.jobs.follow(),
                 self.placement.run(),
                 self.fleet.run(),
                 self._tick(),
@@ -151,12 +151,11 @@
                 request.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _rebuild(self) -> int:
+    async def _rebuild(self) -> None:
         while True:
             try:
                 types = await self.store.get(TYPES)
-                jobs, revision = await self.store.scan(records.JOB)
-                fates, _ = await self.store.scan(records.FATE)
+                live, revision = await self.store.scan(records.LIVE)
                 done, _ = await self.store.scan(records.DONE)
                 rounds, _ = await self.store.scan(ROUND)
                 caches, _ = await self.store.scan(CACHE)
@@ -167,11 +166,10 @@
         if types is not None:
             self.writer.versions[TYPES] = types.version
             self.fleet.set_types(types.value["builds"])
-        self.jobs.load(jobs, fates, done)
+        self.jobs.load(live, done, revision)
         self.caches.load(caches)
         self.placement.load(rounds, self.loop.time())
         self.workers.took_over = self.loop.time()
-        return revision
 
     async def _tick(self) -> None:
         while True:
@@ -220,6 +218,9 @@
     async def query(self, job_id: str) -> Answer:
         if not self.may_act():
             return NOT_NOW
+        told = self.jobs.told(job_id)
+        if told is not None:
+            return told
         return await self._bounded(self.jobs.query(job_id), c.FORWARD_S)
 
     async def cancel(self, job_id: str) -> Answer:
--- a/peathall/leadership/election.py
+++ b/peathall/leadership/election.py
@@ -85,7 +85,7 @@
         started = True
         while True:
             try:
-                item = await self.store.get(LEAD)
+                item = await self.store.get(LEAD, first=True)
                 if item is not None and item.value.get("member") == self.name:
                     # We are not leading, so this is an earlier life of ours or a
                     # campaign whose answer was lost: nobody acts on it.
@@ -141,7 +141,7 @@
 
     async def _campaign(self) -> None:
         self._enter(Phase.STANDING)
-        term_item = await self.store.get(TERM)
+        term_item = await self.store.get(TERM, first=True)
         term = (term_item.value["n"] if term_item else 0) + 1
         sent = self.loop.time()
         lease_id = await self.store.lease(c.LEAD_TTL_S)
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -25,6 +25,7 @@
 from peathall.wire import body, names
 from peathall.wire.http import HttpServer, NoAnswerError, Request, Response
 from peathall.wire.names import JobSpec
+from peathall.wire.turns import Rank, Turns
 
 log = logging.getLogger("peathall.node")
 
@@ -60,6 +61,7 @@
         self.peers.leads = self.election.may_act
         sockets = settings.params.machine_limits.fd_limit
         self.api = HttpServer(self._serve, int(sockets * c.CALLER_SHARE))
+        self.turns = Turns()
         self.back = HttpServer(self.peers.serve, int(sockets * c.PEER_SHARE))
 
     async def run(self) -> None:
@@ -133,6 +135,8 @@
         if not JOB_ID.match(job_id):
             return body.cbor_response(404, {"error": "no such job"})
         op = "cancel" if withdraw else "query"
+        if not await self.turns.turn(Rank.CHANGE if withdraw else Rank.QUERY):
+            return self._user(NOT_NOW)
         return self._user(await self._ask({"op": op, "id": job_id}))
 
     def _cut_off(self, now: float) -> bool:
@@ -167,6 +171,8 @@
         return response
 
     async def _answer_checkin(self, request: Request) -> Response:
+        if not await self.turns.turn(Rank.CHECKIN):
+            return body.cbor_response(503, {"error": "too late"})
         try:
             report = names.report_from_wire(body.cbor_map(request.body))
         except body.MalformedError as exc:
@@ -183,6 +189,8 @@
         return body.cbor_response(421, {"steward": steward})
 
     async def _submit(self, request: Request) -> Response:
+        if not await self.turns.turn(Rank.CHANGE):
+            return self._user(NOT_NOW)
         try:
             spec = names.job_from_wire(body.cbor_map(request.body), self.wall())
             record = names.spec_to_record(spec)
@@ -202,8 +210,9 @@
             steward = self._steward()
             if steward is not None:
                 try:
-                    limit = c.FORWARD_ACCEPT_S if message["op"] == "accept" else c.FORWARD_S
-                    answer = await self.peers.forward(steward, message, limit)
+                    accepts = message["op"] == "accept"
+                    limit = c.FORWARD_ACCEPT_S if accepts else c.FORWARD_S
+                    answer = await self.peers.forward(steward, message, limit, c.ACCEPT_S)
                     if answer[0] != 503:
                         return answer
                 except NoAnswerError as exc:
@@ -219,7 +228,8 @@
         return await leader.cancel(message["id"])
 
     async def _forwarded(self, message: dict[str, Any]) -> Answer:
-        if self.leader is None:
+        rank = Rank.QUERY if message.get("op") == "query" else Rank.CHANGE
+        if self.leader is None or not await self.turns.turn(rank) or self.leader is None:
             return NOT_NOW
         try:
             return await self._local(self.leader, message, None)
--- a/peathall/peers/service.py
+++ b/peathall/peers/service.py
@@ -76,12 +76,25 @@
         return {w: order for w, (order, at) in self.knocked.items() if now - at < c.KNOCK_S}
 
     # --- asking --------------------------------------------------------------
-    async def forward(self, name: str, message: dict[str, Any], timeout: float) -> tuple[int, Any]:
-        """The leader's answer; NoAnswerError if there is none in time."""
+    async def forward(
+        self, name: str, message: dict[str, Any], timeout: float, busy: float = 0.0
+    ) -> tuple[int, Any]:
+        """The leader's answer; NoAnswerError if there is none in time. A leader that answers
+        others meanwhile is alive, and may be `busy` for longer than `timeout`."""
         view = self.views.get(name)
         if view is None:
             raise NoAnswerError("unknown peer", sent=False)
-        status, raw = await view.client.request("POST", "/forward", orjson.dumps(message), timeout)
+        asked = checked = self.loop.time()
+        limit = max(timeout, busy)
+        request = asyncio.ensure_future(
+            view.client.request("POST", "/forward", orjson.dumps(message), limit)
+        )
+        while not (await asyncio.wait([request], timeout=timeout))[0]:
+            if view.heard < checked or self.loop.time() - asked > limit:
+                request.cancel()
+                raise NoAnswerError(f"no answer from {name}", sent=True)
+            checked = self.loop.time()
+        status, raw = request.result()
         view.heard = self.loop.time()
         try:
             return status, orjson.loads(raw) if raw else None
--- a/peathall/store/budget.py
+++ b/peathall/store/budget.py
@@ -22,11 +22,11 @@
         self.burst = max(1.0, rate)
         self.level = min(self.level, self.burst)
 
-    def wait(self, amount: float, now: float) -> float:
-        """Seconds until `amount` may be spent; 0 spends it now."""
+    def wait(self, amount: float, now: float, keep: float = 0.0) -> float:
+        """Seconds until `amount` may be spent, leaving `keep` of a burst; 0 spends it now."""
         self._refill(now)
         # More than a full burst can never be saved up: it goes out on a full bucket.
-        need = min(amount, self.burst)
+        need = min(amount + keep * self.burst, self.burst)
         if self.level >= need - 1e-9:
             self.level -= amount
             return 0.0
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import quote
 
@@ -67,6 +68,29 @@
         return {"drop": self.key}
 
 
+class SharedRead:
+    """Whoever asks while a read is on its way shares the next one: what is known afterwards
+    is no older than the question, and a storm of questions costs one read at a time."""
+
+    def __init__(self, read: Callable[[], Awaitable[None]]) -> None:
+        self.read = read
+        self._reading: asyncio.Task[None] | None = None
+        self._next: asyncio.Task[None] | None = None
+
+    async def fresh(self) -> None:
+        if self._next is None:
+            # A read that is on its way may have been carried out before this call.
+            self._next = asyncio.create_task(self._read_after(self._reading))
+            self._next.add_done_callback(lambda t: t.cancelled() or t.exception())
+        await asyncio.shield(self._next)
+
+    async def _read_after(self, earlier: asyncio.Task[None] | None) -> None:
+        if earlier is not None and not earlier.done():
+            await asyncio.wait([earlier])
+        self._reading, self._next = self._next, None
+        await self.read()
+
+
 class StateClient:
     def __init__(self, addr: str, limits: StateSettings, controllers: int) -> None:
         self.limits = limits
@@ -98,8 +122,14 @@
         number of controllers, the sum stays within the whole."""
         return leaders if leading else (1.0 - leaders) / self.followers
 
-    async def _budget(self, writes: int) -> None:
-        while (pause := self.requests.wait(1, self.loop.time())) > 0:
+    async def _budget(self, writes: int = 0, first: bool = False) -> None:
+        """Reads leave some of the budget to what goes first, and are given up in time: more of
+        them than it allows would else wait in an ever longer line."""
+        keep = 0.0 if writes or first else c.READS_KEEP
+        until = self.loop.time() + c.STORE_TIMEOUT_S
+        while (pause := self.requests.wait(1, self.loop.time(), keep)) > 0:
+            if keep and self.loop.time() + pause > until:
+                raise StoreError("the request budget is used up")
             await asyncio.sleep(pause)
         while writes and (pause := self.writes.wait(writes, self.loop.time())) > 0:
             await asyncio.sleep(pause)
@@ -128,8 +158,8 @@
         except Exception as exc:
             raise StoreDoubtError(f"garbled answer: {exc}") from None
 
-    async def get(self, key: str) -> Item | None:
-        await self._budget(0)
+    async def get(self, key: str, first: bool = False) -> Item | None:
+        await self._budget(first=first)
         status, raw = await self._ask("GET", f"/store/{quote(key)}")
         if status == 200:
             return Item(raw["k"], raw["data"], raw["stamp"])
@@ -142,7 +172,7 @@
         items: list[Item] = []
         after, revision = "", None
         while True:
-            await self._budget(0)
+            await self._budget()
             path = f"/store?prefix={quote(prefix)}&most=1000"
             if after:
                 path += f"&after={quote(after)}"
@@ -193,12 +223,18 @@
 
     async def watch(self, prefix: str, after: int) -> tuple[int, list[Change]] | None:
         """Changes after a revision; None if the service no longer knows that far back."""
-        await self._budget(0)
-        hold = c.WATCH_HOLD_S
+        return await self._changes(prefix, after, c.WATCH_HOLD_S, self.watch_http)
+
+    async def news(self, prefix: str, after: int) -> tuple[int, list[Change]] | None:
+        """The same without waiting for any."""
+        return await self._changes(prefix, after, 0.0, self.http)
+
+    async def _changes(
+        self, prefix: str, after: int, hold: float, http: HttpClient
+    ) -> tuple[int, list[Change]] | None:
+        await self._budget(first=hold > 0)  # such are few
         path = f"/watch?prefix={quote(prefix)}&after={after}&hold_ms={int(hold * 1000)}"
-        status, raw = await self._ask(
-            "GET", path, timeout=hold + c.STORE_TIMEOUT_S, http=self.watch_http
-        )
+        status, raw = await self._ask("GET", path, timeout=hold + c.STORE_TIMEOUT_S, http=http)
         if status == 410:
             return None
         if status != 200:
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -12,6 +12,7 @@
 import logging
 from collections.abc import Callable
 from enum import Enum, auto
+from typing import Any
 
 from peathall import constants as c
 from peathall.settings import StateSettings
@@ -73,9 +74,12 @@
         self.lead = lead
         self.may_act = may_act
         self.on_deposed = on_deposed
+        self.loop = asyncio.get_running_loop()
         self.phase = WriterPhase.IDLE
         self.queue: list[Change] = []
+        self.first: dict[str, Callable[[], Change | None]] = {}  # see ask_first()
         self.spare: dict[str, Callable[[], Change | None]] = {}  # see offer()
+        self.offered: dict[str, float] = {}  # since when each of them waits
         self.wake = asyncio.Event()
         self.versions: dict[str, int] = {}
 
@@ -99,15 +103,23 @@
             self.wake.set()
         return change.done
 
+    def ask_first(self, name: str, make: Callable[[], Change | None]) -> None:
+        """`make` is asked for its change when the next transaction is made up, before all
+        others: what it gathers until then shares one record."""
+        if self.phase is not WriterPhase.STOPPED:
+            self.first[name] = make
+            self.wake.set()
+
     def offer(self, name: str, make: Callable[[], Change | None]) -> None:
         """What may wait: `make` is asked for its change once there is budget to spare.
 
         Offered again under its name before that, it is still written once, in its latest
-        state: the busier the store, the fewer such writes, and they never delay an accept,
-        an end or a round.
+        state: the busier the store, the fewer such writes. Without budget to spare they go
+        out one by one after some seconds, since what waits for them must not grow for ever.
         """
         if self.phase is not WriterPhase.STOPPED and name not in self.spare:
             self.spare[name] = make
+            self.offered[name] = self.loop.time()
             self.wake.set()
 
     def offer_drop(self, key: str) -> None:
@@ -115,6 +127,7 @@
 
     def stop(self) -> None:
         self._enter(WriterPhase.STOPPED)
+        self.first.clear()
         self.spare.clear()
         for change in self.queue:
             if not change.done.done():
@@ -145,14 +158,26 @@
             batch.append(change)
             return True
 
+        for name in list(self.first):
+            gathered = self.first.pop(name)()
+            if gathered is not None:
+                add(gathered)  # there is room: each is one operation
+        taken = 0
         for change in self.queue:
             if not add(change):
                 break
-        del self.queue[: len(batch)]
+            taken += 1
+        del self.queue[:taken]
         left = self.store.spare_writes() - ops if self.spare else 0
+        now = self.loop.time()
         for name in list(self.spare):
-            if left < 1 or ops >= self.limits.txn_ops:
+            if ops >= self.limits.txn_ops:
                 break
+            if left < 1:
+                if now - self.offered[name] < c.SPARE_MOST_S:
+                    break  # the others came later
+                left = 1  # this one, and no more
+            del self.offered[name]
             offered = self.spare.pop(name)()
             if offered is None:
                 continue
@@ -164,7 +189,7 @@
 
     async def run(self) -> None:
         while self.phase is not WriterPhase.STOPPED:
-            if not self.queue and not self.spare:
+            if not (self.queue or self.first or self.spare):
                 self.wake.clear()
                 await self.wake.wait()
                 continue
@@ -196,7 +221,7 @@
                 conditions[op.key] = self.versions.get(op.key, 0)
             conditions.update(change.conditions)
             ops += change.ops
-        doubt = False
+        doubt = refused = False
         while self.phase is not WriterPhase.STOPPED:
             try:
                 revision = await self.store.commit(conditions, ops)
@@ -206,7 +231,9 @@
                 self._enter(WriterPhase.IN_DOUBT)
                 await asyncio.sleep(c.STORE_RETRY_S)
             except (StoreError, LeaseGoneError) as exc:
-                log.debug("commit refused: %s", exc)
+                if not refused:
+                    log.info("commit refused, repeating it: %s", exc)
+                    refused = True
                 await asyncio.sleep(c.STORE_RETRY_S)
             except ConflictError as exc:
                 if self.lead[0] in exc.failed:
@@ -278,3 +305,89 @@
         for change in batch:
             if not change.done.done():
                 change.done.set_exception(error)
+
+
+class Gather:
+    """Entries that share records: all that wait when a transaction is made up go into one.
+
+    Each would else cost a change of its own, and a swarm of small jobs more of them than the
+    state service grants.
+    """
+
+    def __init__(self, writer: Writer, term: int, prefix: str, field: str) -> None:
+        self.writer = writer
+        self.stem = f"{prefix}{term:08d}-"
+        self.field = field
+        self.limit = int(writer.limits.value_kb * 1024 * c.VALUE_FILL)
+        # Conditions of a transaction are limited too; a quarter is left for other changes.
+        self.checks = 3 * writer.limits.txn_ops
+        self.number = 0
+        self.waiting: list[Entry] = []
+
+    def add(self, value: Any, conditions: dict[str, int] | None = None) -> asyncio.Future[str]:
+        """The future gives the key of the record in which the entry was stored."""
+        entry = Entry(value, conditions or {})
+        if self.writer.phase is WriterPhase.STOPPED:
+            entry.stored.set_exception(DeposedError())
+        else:
+            self.waiting.append(entry)
+            self.writer.ask_first(self.stem, self._make)
+        return entry.stored
+
+    def _make(self) -> Change | None:
+        taken: list[Entry] = []
+        size, conditions = json_size({self.field: []}), dict[str, int]()
+        for entry in self.waiting:
+            size += entry.size + 1
+            if taken and (
+                size > self.limit or len(conditions) + len(entry.conditions) > self.checks
+            ):
+                break
+            taken.append(entry)
+            conditions |= entry.conditions
+        if not taken:
+            return None
+        del self.waiting[: len(taken)]
+        if self.waiting:
+            self.writer.ask_first(self.stem, self._make)
+        self.number += 1
+        key = f"{self.stem}{self.number:07d}"
+        change = Change(conditions, [Put(key, {self.field: [entry.value for entry in taken]})])
+        change.done.add_done_callback(lambda done: self._settle(key, taken, done))
+        return change
+
+    def _settle(self, key: str, taken: list[Entry], done: asyncio.Future[int]) -> None:
+        error = done.exception() if not done.cancelled() else DeposedError()
+        failed = set(error.failed) if isinstance(error, ConflictError) else set()
+        again = []
+        for entry in taken:
+            if entry.stored.done():
+                continue
+            if error is None:
+                entry.stored.set_result(key)
+            elif failed and key not in failed and not failed & entry.conditions.keys():
+                again.append(entry)  # only its neighbours' conditions did not hold
+            else:
+                entry.stored.set_exception(error)
+        if again:
+            self.waiting[:0] = again
+            self.writer.ask_first(self.stem, self._make)
+
+    def close(self) -> None:
+        for entry in self.waiting:
+            entry.stored.cancel()
+        self.waiting.clear()
+
+
+class Entry:
+    """What is to be stored among others, under conditions of its own."""
+
+    __slots__ = ("conditions", "size", "stored", "value")
+
+    def __init__(self, value: Any, conditions: dict[str, int]) -> None:
+        self.value = value
+        self.conditions = conditions
+        self.size = json_size(value)
+        self.stored: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        # Whoever does not wait for the result must not cause a warning.
+        self.stored.add_done_callback(lambda f: f.cancelled() or f.exception())
--- a/peathall/wire/names.py
+++ b/peathall/wire/names.py
@@ -48,6 +48,10 @@
     UNKNOWN = "unknown"
 
 
+WHY = {why.value: why for why in Why}
+STATE = {state.value: state for state in TaskState}
+
+
 class Standing(Enum):
     QUEUED = "queued"
     RUNNING = "running"
@@ -231,11 +235,11 @@
     """Most of a report says what the one before said: that is not taken apart again."""
     job, task = task_from_wire(item.parcel)
     # An unknown word for an end is taken as an error: the attempt is over.
-    why = None
-    if item.standing == TaskState.EXITED.value:
-        known = {w.value for w in Why}
-        why = Why(item.cause) if item.cause in known else Why.ERROR
-    return TaskReport(job, task, item.attempt, TaskState(item.standing), why, bool(item.kept))
+    state = STATE.get(item.standing)
+    if state is None:
+        raise ValueError("no such state of a task")
+    why = WHY.get(item.cause or "", Why.ERROR) if state is TaskState.EXITED else None
+    return TaskReport(job, task, item.attempt, state, why, bool(item.kept))
 
 
 def report_from_wire(raw: dict[str, Any]) -> Report:
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -32,14 +32,17 @@
 class Exits:
     """Exited attempts still in a machine's reports, kept until they may be forgotten."""
 
-    __slots__ = ("direct_token", "done", "job", "number", "task")
+    __slots__ = ("direct_token", "done", "job", "number", "settled", "task")
 
-    def __init__(self, job: str, task: int, number: int, done: bool, direct_token: int) -> None:
+    def __init__(
+        self, job: str, task: int, number: int, done: bool, direct_token: int, settled: bool
+    ) -> None:
         self.job = job
         self.task = task
         self.number = number
         self.done = done
         self.direct_token = direct_token
+        self.settled = settled
 
 
 class Workers:
@@ -66,7 +69,7 @@
         # The mandate under which a start was sent directly; such a start may be
         # executed late until the worker has seen a higher one.
         self.direct: dict[Attempt, int] = {}
-        self.exits: dict[str, list[Exits]] = {}
+        self.exits: dict[str, dict[tuple[str, int, int], Exits]] = {}
         self.strays: dict[str, list[tuple[str, int, int]]] = {}  # tasks that nobody asked for
         self.couriers: dict[str, asyncio.Task[None]] = {}
         self.lines = lines  # direct connections at once
@@ -207,7 +210,8 @@
             noticed = True
             self.on_change()
         present: set[Attempt] = set()
-        exits: list[Exits] = []
+        exits: dict[tuple[str, int, int], Exits] = {}
+        before = self.exits.get(machine.name, {})
         strays: list[tuple[str, int, int]] = []
         for item in report.tasks:
             attempt = machine.attempts.get(item.key)
@@ -219,7 +223,11 @@
                     if attempt.seen is item:
                         continue  # as in the report before
             if item.state is TaskState.EXITED:
-                exits.append(self._exited(machine, item, attempt, now))
+                name = (item.job, item.task, item.attempt)
+                told = before.get(name)
+                if told is None or attempt is not None or not told.settled:
+                    told = self._exited(machine, item, attempt, told, now)
+                exits[name] = told  # until it may be forgotten
             elif attempt is not None:
                 self._seen(machine, attempt, item, now)
             else:
@@ -255,7 +263,12 @@
             self.on_images(machine)
 
     def _exited(
-        self, machine: Machine, item: TaskReport, attempt: Attempt | None, now: float
+        self,
+        machine: Machine,
+        item: TaskReport,
+        attempt: Attempt | None,
+        told: Exits | None,
+        now: float,
     ) -> Exits:
         job = self.books.jobs.get(item.job)
         done = item.why is Why.DONE
@@ -266,15 +279,14 @@
             if attempt.phase in (AttemptPhase.FETCHING, AttemptPhase.SENT) and done:
                 self._saw_image(machine, attempt)
         elif item.attempt >= self.base:
-            direct_token = self.token
-            for known in self.exits.get(machine.name, ()):
-                if (known.job, known.task, known.number) == (item.job, item.task, item.attempt):
-                    direct_token = known.direct_token
+            direct_token = told.direct_token if told is not None else self.token
         if job is not None and done and job.phase is JobPhase.ACTIVE:
             self._done(job, item.task, machine)
         if attempt is not None and attempt.phase is not AttemptPhase.GONE:
             self._ended(machine, attempt, item, now)
-        return Exits(item.job, item.task, item.attempt, done, direct_token)
+        # The end of a job that is not known yet is looked at again.
+        settled = job is not None or not done
+        return Exits(item.job, item.task, item.attempt, done, direct_token, settled)
 
     def _done(self, job: Job, task: int, machine: Machine) -> None:
         machine.failed_jobs.clear()
@@ -391,7 +403,7 @@
                 if direct:
                     self.direct[attempt] = self.token
         if not direct:
-            for known in self.exits.get(machine.name, ()):
+            for known in self.exits.get(machine.name, {}).values():
                 job = self.books.jobs.get(known.job)
                 stored = not known.done or job is None or job.phase is not JobPhase.ACTIVE
                 if not stored and job is not None:
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -14,8 +14,9 @@
 from peathall.placement.service import split_record
 from peathall.settings import StateSettings
 from peathall.store.budget import Budget
+from peathall.store.client import Change as StoreChange
 from peathall.store.client import ConflictError, Item, Put, StateClient, StoreDoubtError
-from peathall.store.writer import Change, DeposedError, Writer
+from peathall.store.writer import Change, DeposedError, Gather, Writer
 from peathall.wire.body import json_size
 
 
@@ -26,6 +27,7 @@
         self.data: dict[str, tuple[Any, int]] = {"lead": ({}, 1)}
         self.revision = 1
         self.spare = 12.0
+        self.forgotten = 0  # changes up to this revision are not told as news any more
         self.lose: list[bool] = []  # for each coming commit that gets no answer: carried out?
 
     def spare_writes(self) -> float:
@@ -35,7 +37,21 @@
         found = self.data.get(key)
         return Item(key, found[0], found[1]) if found else None
 
+    async def scan(self, prefix: str) -> tuple[list[Item], int]:
+        found = [Item(k, v, at) for k, (v, at) in self.data.items() if k.startswith(prefix)]
+        return found, self.revision
+
+    async def news(self, prefix: str, after: int) -> tuple[int, list[Any]] | None:
+        if after < self.forgotten:
+            return None
+        return self.revision, [
+            StoreChange(k, at, v, v is None)
+            for k, (v, at) in self.data.items()
+            if k.startswith(prefix) and at > after
+        ]
+
     def write(self, key: str, value: Any) -> None:
+        """Its news is that it is gone if the value is None."""
         self.revision += 1
         self.data[key] = (value, self.revision)
 
@@ -197,31 +213,87 @@
     asyncio.run(run())
 
 
-def test_a_follower_reads_a_job_s_record_and_its_end_only_once() -> None:
+def test_one_read_serves_all_polls_at_a_controller_without_a_leader() -> None:
+    """Each poll once read two records, and in a storm of polls all of the request budget."""
+
     class Counting(FakeStore):
-        reads = 0
+        reads = scans = 0
 
         async def get(self, key: str) -> Item | None:
-            self.reads += 1
+            assert key.startswith("past/")
             return await super().get(key)
 
+        async def scan(self, prefix: str) -> tuple[list[Item], int]:
+            self.scans += 1
+            return await super().scan(prefix)
+
+        async def news(self, prefix: str, after: int) -> tuple[int, list[Any]] | None:
+            self.reads += 1
+            known = await super().news(prefix, after)
+            await asyncio.sleep(0)  # what is read is as old as the request
+            return known
+
     store = Counting()
-    store.write("job/j-1", {})
+    two = [{"id": "j-1"}, {"id": "j-2"}]
+    store.write("live/jobs/1-1", {"jobs": two})
+    store.write("live/job/j-3", {"id": "j-3"})
 
-    async def run() -> list[Any]:
+    async def run() -> None:
         client: Any = store
         fallback = Fallback(client, None)  # type: ignore[arg-type]
-        answers = [await fallback.query("j-2"), await fallback.query("j-1")]
-        before = store.reads
-        answers.append(await fallback.query("j-1"))
-        assert store.reads == before + 2  # only whether it has ended
+
+        async def told(*ids: str) -> list[str]:
+            answers = await asyncio.gather(*(fallback.query(job_id) for job_id in ids))
+            return [a[1]["standing"] if a[1] else str(a[0]) for a in answers]
+
+        assert await told("j-1", "j-2", "j-3", "j-4") == ["queued", "queued", "queued", "404"]
+        assert (store.scans, store.reads) == (1, 1)
+        late = asyncio.create_task(told("j-1"))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        store.write("live/ends/1-1", {"ends": [["j-2", "aborted", 0]]})
+        # A read that was sent before the question may lack what another one has told since.
+        assert await told("j-1", "j-2") == ["queued", "aborted"]
+        assert await late == ["queued"]
+        assert (store.scans, store.reads) == (1, 3)
         store.write("past/j-1", {"standing": "done", "done": 4})
-        answers.append(await fallback.query("j-1"))
+        store.write("live/jobs/1-1", None)
+        store.write("live/ends/1-1", None)
+        assert await told("j-1", "j-2") == ["done", "aborted"]
         before = store.reads
-        answers.append(await fallback.query("j-1"))
-        assert store.reads == before
-        return answers
+        assert await told("j-1", "j-2") == ["done", "aborted"]
+        assert store.reads == before  # an end never changes
+        store.forgotten = store.revision  # too long ago: read it all anew
+        store.write("live/job/j-5", {"id": "j-5"})
+        assert await told("j-3", "j-5") == ["queued", "queued"]
+
+    asyncio.run(run())
+
+
+def test_jobs_that_arrive_together_share_one_record() -> None:
+    """A swarm of single tasks was accepted at the pace of the write budget, one by one; a
+    neighbour that another controller has accepted meanwhile holds up none of the others."""
+    store = FakeStore()
+    store.write("live/job/j-3", {})
+
+    async def run() -> None:
+        client: Any = store
+        writer = Writer(client, LIMITS, ("lead", 1), lambda: True, lambda: None)
+        gather = Gather(writer, 7, "live/jobs/", "jobs")
+        entries = [
+            gather.add({"id": f"j-{n}", "text": "x" * 300}, {f"live/job/j-{n}": 0})
+            for n in range(40)
+        ]
+        task = asyncio.create_task(writer.run())
+        results = await asyncio.gather(*entries, return_exceptions=True)
+        assert isinstance(results.pop(3), ConflictError)
+        assert len(set(results)) < 5
+        stored = [r["id"] for key in set(results) for r in store.data[str(key)][0]["jobs"]]
+        assert sorted(stored) == sorted(f"j-{n}" for n in range(40) if n != 3)
+        assert all(json_size(store.data[str(key)][0]) <= 8 * 1024 for key in set(results))
+        writer.stop()
+        await task
+        with pytest.raises(DeposedError):
+            await gather.add({}, {})
 
-    answers = asyncio.run(run())
-    assert answers[0] == (404, None)
-    assert [a[1]["standing"] for a in answers[1:]] == ["queued", "queued", "done", "done"]
+    asyncio.run(run())
