Blame needs evidence from both sides; caches of many machines share a record; bounded waits of what may wait

Mistaken jobs fail ~2 s after their image is there, on every machine (log of operations): gangs of eight were retried at full size, and machines emptied for them.

--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -30,8 +30,8 @@
 LEADER_WRITE_SHARE = 0.75  # of the write budget; the followers' accepts without a leader, the rest
 KNOWN_JOBS = 20_000  # jobs of which a follower remembers what it read, some 300 bytes each
 SPARE_WAIT_S = 0.25  # s; before the write budget is looked at again for what may wait
-SPARE_MOST_S = 3.0  # s; then what may wait is written one by one, budget or not: workers' ends
-# are reported until they are stored, and a report has a limit
+SPARE_MOST_S = 3.0  # s; done tasks are written then, budget to spare or not: workers report an
+# end until it is stored, and a report has a limit
 ARCHIVE_AT_ONCE = 3  # jobs of one record archived in one change: together with the record's
 # new state no more changes than a busy store has to spare
 WATCH_HOLD_S = 6.0  # s; a watch behind a silent cut is noticed after this plus the timeout
@@ -62,11 +62,17 @@
 CHECKIN_HOLD_S = (
     1.5  # s; a check-in that meets a leader still reading its records waits (4 s limit)
 )
-SICK_JOBS = 2  # different jobs that failed in a row on a machine before it is emptied
+SICK_JOBS = 3  # different jobs that failed in a row on a machine before it is emptied
+SUSPECT_MACHINES = 2  # on which a job failed that went well nowhere: its own fault, perhaps
+REVOKE_MACHINES = 3  # on which one failed that had gone well before
+PROOF_S = 5.0  # s; what fails of itself fails at its start: longer, and it goes well
 AVOID_MACHINES = 3  # machines that a failing job avoids; a mistaken job would avoid them all
-ERROR_BACKOFF_S = 2.0  # s; doubled with each failure of a job, so that a broken one is slowed
+ERROR_BACKOFF_S = 2.0  # s; doubled with each failed start of a suspect job
 ERROR_BACKOFF_MAX_S = 60.0  # s; a mistaken job stays until its user cancels it
 SAVE_GRACE_S = 3.0  # s; added to the time that a task needs to save
+CACHE_RECORDS = 64  # records that hold all machines' caches: a wave of new images on hundreds of
+# machines costs no more changes than this
+CACHE_IMAGES = 12  # of a machine are written, the latest: the others are the next to go
 FORGET_CACHES_S = 60.0  # s; after a take-over every living machine has reported or is listed
 KNOWN_TASK_REPORTS = 24_000  # sentences of reports that are recognised, some 700 bytes each
 PATIENT_ORDERS = 40.0  # a second and core: direct orders for tasks that could wait for their
@@ -85,6 +91,7 @@
 # interval, at most twice as long as the save would hold up whoever needs its room
 RESTART_S = 10.0  # s; what a stopped task loses besides work: queueing, a start, perhaps a fetch
 EFFORT_WEIGHT = 3.0  # times the seconds a job would fill the fleet are added to its latest start
+PROBE_LATER_S = 1e6  # s; probes of suspect jobs come after all others of their priority
 AGED_S = 150.0  # s; a job that none of its tasks has a place for so long goes before all
 # others: the largest must begin within four minutes, however many smaller ones come
 ESTIMATE_FLOOR = 0.3  # of the estimate is expected to be left of a task that outlives it
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -15,6 +15,12 @@
     DONE = auto()  # every task stored as done; attempts may still be on machines
 
 
+class Trust(Enum):
+    UNKNOWN = auto()  # nothing of it has gone well yet, nor failed in several places
+    PROVEN = auto()  # it has gone well somewhere
+    SUSPECT = auto()  # failed in several places, went well in none: perhaps a mistake in it
+
+
 class AttemptPhase(Enum):
     PLANNED = auto()  # room is taken, the intent is not stored yet
     INTENDED = auto()  # stored; the start may go out
@@ -78,13 +84,17 @@
         "done",
         "end",
         "failed_on",
+        "fails_after",
         "home",
         "idle_since",
         "phase",
         "settling",
         "spec",
         "stored",
+        "strikes",
+        "struck",
         "todo",
+        "trust",
         "writing",
     )
 
@@ -96,7 +106,11 @@
         self.stored = Ranges()  # those of them that are in the state service
         self.todo = Ranges([(0, spec.tasks)])  # neither done nor attempted
         self.attempts: dict[int, Attempt] = {}
-        self.failed_on: dict[str, None] = {}  # machines on which its tasks failed, in order
+        self.trust = Trust.UNKNOWN
+        self.failed_on: dict[str, float] = {}  # machines on which it failed, and when, in order
+        self.fails_after = 0.0  # seconds for which its tasks ran at most until they failed
+        self.strikes = 0  # starts that failed since it was last known to go well
+        self.struck = 0  # the latest of them
         self.backoff_until = 0.0
         self.home = ""  # key of the record that holds it
         self.end = ""  # key of the record that holds its final state
@@ -107,6 +121,9 @@
         if self.phase is JobPhase.ACTIVE:
             self.phase = phase
 
+    def enter_trust(self, trust: Trust) -> None:
+        self.trust = trust
+
     @property
     def standing(self) -> Standing:
         if self.phase is JobPhase.DONE:
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -270,7 +270,7 @@
             job.writing = True
             self._spawn(self._finish(job))
         else:
-            self.writer.offer(records.DONE + job.spec.id, lambda: self._done_change(job))
+            self.writer.offer(records.DONE + job.spec.id, lambda: self._done_change(job), must=True)
 
     async def _finish(self, job: Job) -> None:
         try:
@@ -341,9 +341,11 @@
             for job in over
         ]
         ops.append(Put(home, {"jobs": rest}) if rest else Drop(home))
-        # Another controller may have accepted it as well, unknown to us: that record would
-        # bring the job back to life after it has been archived.
-        twins = {records.JOB + job.spec.id: 0 for job in over if job.home.startswith(records.JOBS)}
+        # Another controller may have accepted it as well: that record would bring the job back
+        # to life after it has been archived. One that we don't know of fails the change.
+        keys = [records.JOB + job.spec.id for job in over]
+        twins = {key: 0 for key in keys if key not in self.writer.versions}
+        ops += [Drop(key) for key in keys if key in self.writer.versions and key != home]
         self.archiving.add(home)
         for job in over:
             job.writing = True
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -68,7 +68,6 @@
         )
         self.caches = Caches(self.books, self.writer)
         self.workers.on_images = self.caches.changed
-        self.workers.on_gone = self.caches.gone
         self.workers.on_confirmed = self.caches.recall
         self.jobs = Jobs(self.books, params, store, self.writer, self._nudge, self._cancelled, wall)
         self.placement = Placement(
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -167,6 +167,7 @@
         "fetch_s",
         "latest_start",
         "lingering",
+        "probe",
         "running_zones",
         "spec",
         "submitted",
@@ -186,6 +187,7 @@
         avoid: Iterable[str] = (),
         fetch_s: float = 0.0,
         aged: bool = False,
+        probe: bool = False,
     ) -> None:
         self.spec = spec
         self.todo = todo
@@ -196,6 +198,7 @@
         self.avoid = frozenset(avoid)  # machines on which it failed
         self.urgent = urgent  # an aim is lost unless it starts soon: worth stopping others
         self.aged = aged  # has waited so long that nothing may go before it any more
+        self.probe = probe  # of a job that may be mistaken: nobody makes room for it
         self.lingering = lingering  # a gang with attempts that are not gone yet
 
 
@@ -452,7 +455,7 @@
                 return
             if self.wait_for_image(job, spec.tasks):
                 return
-            if not self.place_gang(job):
+            if not self.place_gang(job) and not job.probe:
                 self.make_room(job, spec.tasks)
                 self.plan.short.append((job, spec.tasks))
             return
@@ -460,7 +463,7 @@
         if wanted and self.wait_for_image(job, wanted):
             return
         left = self.place_tasks(job, wanted)
-        if left > 0:
+        if left > 0 and not job.probe:
             self.make_room(job, left)
             self.plan.short.append((job, left))
 
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -10,7 +10,7 @@
 
 from peathall import constants as c
 from peathall.books import Books
-from peathall.jobs.model import Attempt, AttemptPhase, Job, JobPhase
+from peathall.jobs.model import Attempt, AttemptPhase, Job, JobPhase, Trust
 from peathall.jobs.ranges import Ranges
 from peathall.placement.planner import (
     Detail,
@@ -142,7 +142,9 @@
         jobs = [
             self._job_view(job, wall, now, covered)
             for job in active
-            if job.todo and now >= job.backoff_until
+            if job.todo
+            and now >= job.backoff_until
+            and not (job.trust is Trust.SUSPECT and job.attempts)  # one probe at a time
         ]
         if not jobs:
             return Plan()
@@ -184,7 +186,12 @@
         """Jobs that fit into their team's guarantee with the team's earlier unfinished ones."""
         sums: dict[str, list[float]] = {}
         covered = set()
-        active = [j for j in self.books.jobs.values() if j.phase is JobPhase.ACTIVE]
+        active = [
+            j
+            for j in self.books.jobs.values()
+            # What may be mistaken takes its team's guarantee from no other job.
+            if j.phase is JobPhase.ACTIVE and j.trust is not Trust.SUSPECT
+        ]
         for job in sorted(active, key=lambda j: j.spec.submitted):
             team = self.teams.get(job.spec.team)
             if team is None or not (team.cpus or team.gpus):
@@ -208,6 +215,14 @@
             for attempt in job.attempts.values():
                 zone = self.books.machines[attempt.machine].zone
                 zones[zone] = zones.get(zone, 0) + 1
+        if job.trust is Trust.SUSPECT:
+            # A probe, in room that nobody else wants: whether it goes well is soon known.
+            probe = job.spec.tasks if job.spec.gang else 1
+            last = wall + c.PROBE_LATER_S
+            avoid = self.workers.blame.avoid(job)
+            return JobView(
+                job.spec, probe, False, last, zones, urgent=False, avoid=avoid, probe=True
+            )
         latest = latest_start(job.spec, self.params.objectives, wall, 0.0)
         aged = not job.attempts and now - job.idle_since > c.AGED_S
         return JobView(
@@ -219,7 +234,7 @@
             lingering=job.spec.gang and bool(job.attempts),
             urgent=aged or latest - wall < c.URGENT_S,
             aged=aged,
-            avoid=self._avoid(job),
+            avoid=self.workers.blame.avoid(job),
             fetch_s=self._fetch_s(job.spec),
         )
 
@@ -228,11 +243,6 @@
         rates = [k.fetch_gb_per_s for k in kinds if spec.types is None or k.name in spec.types]
         return spec.image_gb / min(rates, default=1.0)
 
-    def _avoid(self, job: Job) -> list[str]:
-        """The machines on which it failed lately: after some of them it may come back."""
-        recent = list(job.failed_on)[-c.AVOID_MACHINES :]
-        return [name for name in recent if name in self.books.machines]
-
     def _machine_view(self, machine: Machine, now: float, covered: set[str]) -> MachineView:
         report_s = self.params.workers.report_s * 1.25  # reports come up to a quarter late
         return MachineView(
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -79,7 +79,7 @@
         self.queue: list[Change] = []
         self.first: dict[str, Callable[[], Change | None]] = {}  # see ask_first()
         self.spare: dict[str, Callable[[], Change | None]] = {}  # see offer()
-        self.offered: dict[str, float] = {}  # since when each of them waits
+        self.must: dict[str, float] = {}  # those that may not wait for long, and since when
         self.wake = asyncio.Event()
         self.versions: dict[str, int] = {}
 
@@ -110,16 +110,17 @@
             self.first[name] = make
             self.wake.set()
 
-    def offer(self, name: str, make: Callable[[], Change | None]) -> None:
+    def offer(self, name: str, make: Callable[[], Change | None], must: bool = False) -> None:
         """What may wait: `make` is asked for its change once there is budget to spare.
 
         Offered again under its name before that, it is still written once, in its latest
-        state: the busier the store, the fewer such writes. Without budget to spare they go
-        out one by one after some seconds, since what waits for them must not grow for ever.
+        state: the busier the store, the fewer such writes. What `must` be written in time
+        goes out after some seconds, one with each transaction, budget or not.
         """
         if self.phase is not WriterPhase.STOPPED and name not in self.spare:
             self.spare[name] = make
-            self.offered[name] = self.loop.time()
+            if must:
+                self.must[name] = self.loop.time()
             self.wake.set()
 
     def offer_drop(self, key: str) -> None:
@@ -135,6 +136,11 @@
         self.queue.clear()
         self.wake.set()
 
+    def _due(self) -> str | None:
+        """What has waited for budget to spare for as long as it may."""
+        name, since = next(iter(self.must.items()), ("", self.loop.time()))
+        return name if self.loop.time() - since > c.SPARE_MOST_S else None
+
     def _take(self) -> list[Change]:
         """The oldest changes that fit into one transaction and touch no key twice."""
         batch: list[Change] = []
@@ -160,8 +166,8 @@
 
         for name in list(self.first):
             gathered = self.first.pop(name)()
-            if gathered is not None:
-                add(gathered)  # there is room: each is one operation
+            if gathered is not None and not add(gathered):
+                self.queue.insert(0, gathered)
         taken = 0
         for change in self.queue:
             if not add(change):
@@ -169,15 +175,11 @@
             taken += 1
         del self.queue[:taken]
         left = self.store.spare_writes() - ops if self.spare else 0
-        now = self.loop.time()
-        for name in list(self.spare):
-            if ops >= self.limits.txn_ops:
+        due = self._due() if left < 1 else None
+        for name in list(self.spare) if due is None else [due]:
+            if ops >= self.limits.txn_ops or (left < 1 and due is None):
                 break
-            if left < 1:
-                if now - self.offered[name] < c.SPARE_MOST_S:
-                    break  # the others came later
-                left = 1  # this one, and no more
-            del self.offered[name]
+            self.must.pop(name, None)
             offered = self.spare.pop(name)()
             if offered is None:
                 continue
--- /dev/null
+++ b/peathall/workers/blame.py
@@ -0,0 +1,92 @@
+"""Whose fault a failure is: the machine's or the job's. Pure: time comes in as an argument.
+
+A machine is sick if it fails jobs that go well elsewhere; a job is mistaken if it fails on
+several machines and goes well on none. One failure alone says nothing.
+"""
+
+from __future__ import annotations
+
+from peathall import constants as c
+from peathall.books import Books
+from peathall.jobs.model import Attempt, Job, Trust
+from peathall.workers.model import Machine
+
+
+class Blame:
+    def __init__(self, books: Books) -> None:
+        self.books = books
+        self.watched: dict[str, Job] = {}  # jobs that failed and have not gone well since
+
+    def failed(self, attempt: Attempt, ran_s: float, now: float) -> list[Machine]:
+        """A task failed after running for so long. Returns the machines that are sick."""
+        job, machine = attempt.job, self.books.machines[attempt.machine]
+        job.failed_on.pop(machine.name, None)
+        job.failed_on[machine.name] = now
+        job.fails_after = max(job.fails_after, ran_s)
+        self.watched[job.spec.id] = job
+        if attempt.number != job.struck:
+            job.struck = attempt.number  # tasks that were started together fail together
+            job.strikes += 1
+        limit = c.REVOKE_MACHINES if job.trust is Trust.PROVEN else c.SUSPECT_MACHINES
+        if len(job.failed_on) >= limit:
+            if job.trust is not Trust.SUSPECT:
+                job.enter_trust(Trust.SUSPECT)
+                job.strikes = 1
+            # Not one machine is to blame for what fails on several.
+            for name in job.failed_on:
+                other = self.books.machines.get(name)
+                if other is not None:
+                    other.failed_jobs.discard(job.spec.id)
+            pause = c.ERROR_BACKOFF_S * 2 ** min(job.strikes - 1, 10)
+            job.backoff_until = now + min(c.ERROR_BACKOFF_MAX_S, pause)
+            return []
+        machine.failed_jobs.add(job.spec.id)
+        if self._proves_itself(machine, job.failed_on[machine.name]):
+            return []
+        sick = job.trust is Trust.PROVEN or len(machine.failed_jobs) >= c.SICK_JOBS
+        return [machine] if sick else []
+
+    def went_well(self, job: Job, machine: Machine, now: float) -> list[Machine]:
+        """A task of the job has ended as it should. Returns the machines that are sick."""
+        machine.proved_at = now
+        machine.failed_jobs.clear()
+        job.failed_on.pop(machine.name, None)
+        return self._proven(job)
+
+    def _proven(self, job: Job) -> list[Machine]:
+        job.enter_trust(Trust.PROVEN)
+        if self.watched.pop(job.spec.id, None) is None:
+            return []
+        job.strikes = 0
+        job.backoff_until = 0.0
+        failed = [(self.books.machines.get(name), at) for name, at in job.failed_on.items()]
+        sick = [m for m, at in failed if m is not None and not self._proves_itself(m, at)]
+        # Many at once are no single sick machines: whatever it was, it is over.
+        return sick if len(sick) < c.REVOKE_MACHINES else []
+
+    def _proves_itself(self, machine: Machine, failed_at: float) -> bool:
+        """Whether anything has gone well on the machine since then."""
+        return machine.proved_at > failed_at
+
+    def look(self, now: float) -> list[Machine]:
+        """Now and then: what has run for longer than its failures took goes well."""
+        sick: list[Machine] = []
+        for job in list(self.watched.values()):
+            if self.books.jobs.get(job.spec.id) is not job:
+                del self.watched[job.spec.id]
+                continue
+            enough = max(c.PROOF_S, 2 * job.fails_after)
+            for attempt in job.attempts.values():
+                if attempt.running and now - attempt.since > enough:
+                    sick += self._proven(job)
+                    break
+        return sick
+
+    def avoid(self, job: Job) -> list[str]:
+        """Machines on which the job failed and nothing has gone well since, the latest few."""
+        found = []
+        for name, at in job.failed_on.items():
+            machine = self.books.machines.get(name)
+            if machine is not None and not self._proves_itself(machine, at):
+                found.append(name)
+        return found[-c.AVOID_MACHINES :]
--- a/peathall/workers/caches.py
+++ b/peathall/workers/caches.py
@@ -6,24 +6,35 @@
 
 from __future__ import annotations
 
+from typing import Any
+from zlib import crc32
+
+from peathall import constants as c
 from peathall.books import Books
-from peathall.store.client import Item, Put
+from peathall.store.client import Drop, Item, Put
 from peathall.store.writer import Change, Writer
+from peathall.wire.body import json_size
 from peathall.workers.model import Machine
 
 CACHE = "cache/"
 
 
 class Caches:
+    """Many machines share a record, so that new images everywhere cost few changes."""
+
     def __init__(self, books: Books, writer: Writer) -> None:
         self.books = books
         self.writer = writer
+        self.limit = int(writer.limits.value_kb * 1024 * c.VALUE_FILL)
         self.loaded: dict[str, list[tuple[str, float]]] = {}
+        self.members: dict[str, dict[str, None]] = {}  # record -> machines in it
 
     def load(self, items: list[Item]) -> None:
         for item in items:
             self.writer.versions[item.key] = item.version
-            self.loaded[item.key.removeprefix(CACHE)] = item.value["images"]
+            for name, images in item.value["machines"].items():
+                self.loaded[name] = images
+                self.members.setdefault(item.key, {})[name] = None
 
     def recall(self, machine: Machine) -> None:
         """The machine is up and known to us: take over what earlier leaders saw on it."""
@@ -32,21 +43,33 @@
 
     def changed(self, machine: Machine) -> None:
         """Written in its latest state when nothing that matters more waits for the store."""
-        self.writer.offer(CACHE + machine.name, lambda: self._change(machine))
+        key = f"{CACHE}{crc32(machine.name.encode()) % c.CACHE_RECORDS}"
+        self.members.setdefault(key, {})[machine.name] = None
+        self.writer.offer(key, lambda: self._change(key))
 
-    def _change(self, machine: Machine) -> Change | None:
-        if self.books.machines.get(machine.name) is not machine:
-            return None
-        images = [[image, size] for image, size in machine.images.items()]
-        return Change({}, [Put(CACHE + machine.name, {"images": images})])
+    def _change(self, key: str) -> Change | None:
+        record: dict[str, Any] = {}
+        size = json_size({"machines": {}})
+        for name in list(self.members[key]):
+            images = self._known(name)
+            size += json_size(images) + len(name) + 4
+            if not images:
+                del self.members[key][name]
+            elif size < self.limit:
+                record[name] = images
+        if record:
+            return Change({}, [Put(key, {"machines": record})])
+        return Change({}, [Drop(key)]) if key in self.writer.versions else None
 
-    def gone(self, machine: Machine) -> None:
-        key = CACHE + machine.name
-        if key in self.writer.versions:
-            self.writer.offer_drop(key)
+    def _known(self, name: str) -> list[Any]:
+        if name in self.loaded:
+            return self.loaded[name][-c.CACHE_IMAGES :]
+        machine = self.books.machines.get(name)
+        if machine is None:
+            return []
+        return [[image, size] for image, size in machine.images.items()][-c.CACHE_IMAGES :]
 
     def forget_unknown(self) -> None:
-        """Records of machines that are no more, after the cloud's list was read."""
+        """What was read of machines that are no more, after the cloud's list was read."""
         for name in [n for n in self.loaded if n not in self.books.machines]:
             del self.loaded[name]
-            self.writer.offer_drop(CACHE + name)
--- a/peathall/workers/model.py
+++ b/peathall/workers/model.py
@@ -41,6 +41,7 @@
         "listed_at",
         "name",
         "phase",
+        "proved_at",
         "ram",
         "seq",
         "session",
@@ -79,6 +80,7 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.images: OrderedDict[str, float] = OrderedDict()  # cached, as far as we can tell
         self.failed_jobs: set[str] = set()  # jobs that failed here since the last success
+        self.proved_at = -1e9  # steady time at which a task last went well here
 
     def enter(self, phase: MachinePhase) -> bool:
         """One way only: nothing leads back from GONE, nor from DELETING to use."""
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -17,6 +17,7 @@
 from peathall.wire import body, names
 from peathall.wire.http import HttpClient, NoAnswerError
 from peathall.wire.names import Report, TaskReport, TaskState, Why
+from peathall.workers.blame import Blame
 from peathall.workers.model import Machine, MachinePhase
 
 log = logging.getLogger("peathall.workers")
@@ -58,6 +59,7 @@
         patient_rate: float = c.PATIENT_ORDERS,
     ) -> None:
         self.books = books
+        self.blame = Blame(books)
         self.settings = settings
         self.may_act = may_act
         self.on_done = on_done
@@ -80,7 +82,6 @@
         self.on_images: Callable[[Machine], None] = lambda machine: None
         self.on_confirmed: Callable[[Machine], None] = lambda machine: None
         self.on_notice: Callable[[Machine, float], None] = lambda machine, now: None
-        self.on_gone: Callable[[Machine], None] = lambda machine: None
 
     # --- mandate and lease ---------------------------------------------------
     @property
@@ -281,16 +282,15 @@
         elif item.attempt >= self.base:
             direct_token = told.direct_token if told is not None else self.token
         if job is not None and done and job.phase is JobPhase.ACTIVE:
-            self._done(job, item.task, machine)
+            self._done(job, item.task, machine, now)
         if attempt is not None and attempt.phase is not AttemptPhase.GONE:
             self._ended(machine, attempt, item, now)
         # The end of a job that is not known yet is looked at again.
         settled = job is not None or not done
         return Exits(item.job, item.task, item.attempt, done, direct_token, settled)
 
-    def _done(self, job: Job, task: int, machine: Machine) -> None:
-        machine.failed_jobs.clear()
-        job.failed_on.pop(machine.name, None)
+    def _done(self, job: Job, task: int, machine: Machine, now: float) -> None:
+        self._empty_sick(self.blame.went_well(job, machine, now))
         if job.spec.gang:
             # The tasks of a gang complete together: when one is done, all are.
             if len(job.done) < job.spec.tasks:
@@ -302,6 +302,7 @@
     def _ended(self, machine: Machine, attempt: Attempt, item: TaskReport, now: float) -> None:
         job = attempt.job
         number = attempt.number
+        ran_s = now - attempt.since if attempt.running else 0.0
         self.books.release(attempt, now)
         if item.why is not Why.DONE:
             log.info(
@@ -312,23 +313,15 @@
                 item.why.value if item.why else "?",
             )
         if item.why is Why.ERROR:
-            self._failed(machine, job, now)
+            self._empty_sick(self.blame.failed(attempt, ran_s, now))
         elif item.why in (Why.NO_ROOM, Why.BUSY, Why.UNKNOWN):
             # Our books and the worker's differ: wait a little, its next report tells.
             job.backoff_until = max(job.backoff_until, now + c.ERROR_BACKOFF_S)
         if job.spec.gang and item.why is not Why.DONE:
             self.break_gang(job, number, now)
 
-    def _failed(self, machine: Machine, job: Job, now: float) -> None:
-        """Try elsewhere; tell a sick machine from a job that fails everywhere."""
-        machine.failed_jobs.add(job.spec.id)
-        job.failed_on[machine.name] = None
-        elsewhere = len(job.failed_on)
-        if elsewhere > 1:
-            # Several machines: perhaps the job's own fault, so it is slowed, never dropped.
-            pause = min(c.ERROR_BACKOFF_MAX_S, c.ERROR_BACKOFF_S * 2 ** min(elsewhere - 2, 10))
-            job.backoff_until = now + pause
-        if len(machine.failed_jobs) >= c.SICK_JOBS or (job.done and elsewhere == 1):
+    def _empty_sick(self, machines: list[Machine]) -> None:
+        for machine in machines:
             self.drain(machine, "it fails tasks that end well elsewhere")
 
     def drain(self, machine: Machine, why: str) -> None:
@@ -469,6 +462,7 @@
         # that a report shows tells which of our answers the worker has had.
         self.counter += 1
         self.attend(now)
+        self._empty_sick(self.blame.look(now))
         for machine in list(self.books.machines.values()):
             # Known from records only: if it still exists, its report or the cloud's list
             # brings it back.
@@ -491,7 +485,6 @@
         if client is not None:
             client.close()
         self._lost(self.books.remove_machine(machine, now, why), now)
-        self.on_gone(machine)
 
     def close(self) -> None:
         for task in self.couriers.values():
