--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -72,7 +72,6 @@
 SAVE_GRACE_S = 3.0  # s; added to the time that a task needs to save
 CACHE_RECORDS = 64  # records that hold all machines' caches: a wave of new images on hundreds of
 # machines costs no more changes than this
-CACHE_IMAGES = 12  # of a machine are written, the latest: the others are the next to go
 FORGET_CACHES_S = 60.0  # s; after a take-over every living machine has reported or is listed
 KNOWN_TASK_REPORTS = 24_000  # sentences of reports that are recognised, some 700 bytes each
 PATIENT_ORDERS = 40.0  # a second and core: direct orders for tasks that could wait for their
--- a/peathall/workers/caches.py
+++ b/peathall/workers/caches.py
@@ -48,26 +48,21 @@
         self.writer.offer(key, lambda: self._change(key))
 
     def _change(self, key: str) -> Change | None:
-        record: dict[str, Any] = {}
-        size = json_size({"machines": {}})
-        for name in list(self.members[key]):
-            images = self._known(name)
-            size += json_size(images) + len(name) + 4
-            if not images:
-                del self.members[key][name]
-            elif size < self.limit:
-                record[name] = images
+        members = {name: self._known(name) for name in self.members[key]}
+        record = {name: images for name, images in members.items() if images}
+        self.members[key] = dict.fromkeys(record)
+        share = self.limit // max(1, len(record))
+        for name, images in record.items():
+            while json_size(images) + len(name) + 4 > share:
+                images.pop(0)  # the next to go from the cache, too
         if record:
             return Change({}, [Put(key, {"machines": record})])
         return Change({}, [Drop(key)]) if key in self.writer.versions else None
 
     def _known(self, name: str) -> list[Any]:
-        if name in self.loaded:
-            return self.loaded[name][-c.CACHE_IMAGES :]
         machine = self.books.machines.get(name)
-        if machine is None:
-            return []
-        return [[image, size] for image, size in machine.images.items()][-c.CACHE_IMAGES :]
+        seen = self.loaded.get(name) or (machine.images.items() if machine is not None else ())
+        return [[image, round(size, 1)] for image, size in seen]
 
     def forget_unknown(self) -> None:
         """What was read of machines that are no more, after the cloud's list was read."""
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -15,8 +15,11 @@
 from peathall.leadership.lease import first_attempt, token
 from peathall.peers.service import Peers
 from peathall.settings import CloudSettings, Params, Peer, StateSettings, Team, WorkerSettings
+from peathall.store.client import Item
+from peathall.store.writer import Writer
 from peathall.wire.http import Request
 from peathall.wire.names import MachineType, Report, TaskReport, TaskState, report_from_wire
+from peathall.workers.caches import Caches
 from peathall.workers.model import Machine, MachinePhase
 from peathall.workers.service import Workers
 from tests.unit.test_planner import spec
@@ -248,3 +251,33 @@
         assert returned(23.0) == ["m-1", "m-9"]
 
     play(test)
+
+
+def test_the_caches_of_many_machines_share_few_records_and_are_recalled() -> None:
+    """One record for each machine cost hundreds of changes when a new image came to all; a
+    record that kept too few images of each had them fetched again after a take-over."""
+
+    async def run() -> None:
+        store = StateSettings(100.0, 50.0, 8.0, 12)
+        writer = Writer(None, store, ("lead", 1), lambda: True, lambda: None)  # type: ignore[arg-type]
+        workers = new_workers(0.0)
+        caches = Caches(workers.books, writer)
+        for number in range(900):
+            machine = workers.books.machine(f"m-{number}", "g", "a", False, MachinePhase.UP, 0.0)
+            for image in range(20):
+                machine.images[f"img-{image:02d}"] = 1.0 + image / 7
+            caches.changed(machine)
+        records = [make() for make in writer.spare.values()]
+        assert len(records) == c.CACHE_RECORDS
+        later = Caches(workers.books, Writer(None, store, ("lead", 1), lambda: True, lambda: None))  # type: ignore[arg-type]
+        puts = [op for change in records if change is not None for op in change.ops]
+        assert all(orjson.dumps(op.value).__len__() <= 8 * 1024 for op in puts)  # type: ignore[union-attr]
+        later.load([Item(op.key, op.value, 7) for op in puts])  # type: ignore[union-attr]
+        for number in range(900):
+            machine = workers.books.machines[f"m-{number}"]
+            machine.images.clear()
+            later.recall(machine)
+            assert "img-19" in machine.images  # the latest of all
+            assert len(machine.images) >= 12
+
+    asyncio.run(run())
