--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -73,6 +73,10 @@
 CACHE_RECORDS = 64  # records that hold all machines' caches: a wave of new images on hundreds of
 # machines costs no more changes than this
 FORGET_CACHES_S = 60.0  # s; after a take-over every living machine has reported or is listed
+MACHINE_TASKS = (
+    600  # in a report, ended ones included, and orders in an answer: each takes about 80
+)
+# bytes of 64 KiB, and a machine whose report is too large would be lost
 KNOWN_TASK_REPORTS = 24_000  # sentences of reports that are recognised, some 700 bytes each
 PATIENT_ORDERS = 40.0  # a second and core: direct orders for tasks that could wait for their
 # machine's next report, at most; each costs the leader about as much as a report
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -97,6 +97,7 @@
         "key",
         "name",
         "ram",
+        "slots",
         "spot",
         "stale",
         "type",
@@ -114,7 +115,9 @@
         images: Container[str] = (),
         stale: int = 0,
         detail: Callable[[], Detail] = Detail,
+        slots: int = c.MACHINE_TASKS,
     ) -> None:
+        self.slots = slots  # how many more tasks its reports have room for
         self.name = name
         self.key = name.encode()
         self.type = type_
@@ -140,9 +143,10 @@
 
     def fits(self, spec: JobSpec) -> int:
         """How many tasks of the job fit into the free room."""
-        return fits_in(self.free, spec)
+        return min(fits_in(self.free, spec), self.slots)
 
     def take(self, spec: JobSpec, count: int) -> None:
+        self.slots -= count
         self.free[0] -= spec.cpus * count
         self.free[1] -= spec.gpus * count
         self.free[2] -= spec.ram * count
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -255,6 +255,7 @@
             machine.images,
             int(self.workers.silence(machine, now) / report_s),
             lambda: self._detail(machine, now, covered),
+            max(0, c.MACHINE_TASKS - self.workers.in_reports(machine)),
         )
 
     def _detail(self, machine: Machine, now: float, covered: set[str]) -> Detail:
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -376,6 +376,10 @@
         if attempt.phase is not AttemptPhase.PLANNED:
             self.push(self.books.machines[attempt.machine])
 
+    def in_reports(self, machine: Machine) -> int:
+        """How many tasks its next report will name: those it has, and ends not yet forgotten."""
+        return len(machine.attempts) + len(self.exits.get(machine.name, ()))
+
     def _orders(self, machine: Machine, now: float, direct: bool) -> list[dict[str, Any]]:
         orders: list[dict[str, Any]] = []
         usable = machine.confirmed and machine.phase in (MachinePhase.UP, MachinePhase.DRAINING)
@@ -383,6 +387,8 @@
         for (job_id, task), attempt in machine.attempts.items():
             if attempt.phase is AttemptPhase.RUNNING and not attempt.stopping:
                 continue  # nearly all of them
+            if len(orders) >= c.MACHINE_TASKS:
+                break  # the next answer carries on
             if attempt.phase in (AttemptPhase.PLANNED, AttemptPhase.GONE):
                 continue
             if attempt.stopping:
@@ -397,6 +403,8 @@
                     self.direct[attempt] = self.token
         if not direct:
             for known in self.exits.get(machine.name, {}).values():
+                if len(orders) >= c.MACHINE_TASKS:
+                    break
                 job = self.books.jobs.get(known.job)
                 stored = not known.done or job is None or job.phase is not JobPhase.ACTIVE
                 if not stored and job is not None:
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -14,6 +14,7 @@
 from peathall.jobs.model import Attempt, AttemptPhase, Job
 from peathall.leadership.lease import first_attempt, token
 from peathall.peers.service import Peers
+from peathall.placement.planner import MachineView
 from peathall.settings import CloudSettings, Params, Peer, StateSettings, Team, WorkerSettings
 from peathall.store.client import Item
 from peathall.store.writer import Writer
@@ -281,3 +282,36 @@
             assert len(machine.images) >= 12
 
     asyncio.run(run())
+
+
+def test_a_machine_has_no_more_tasks_than_a_report_has_room_for() -> None:
+    """Hundreds of tiny tasks on one machine, and as many ends not yet forgotten."""
+
+    async def run() -> None:
+        workers = new_workers(0.0)
+        workers.checkin(report(1, 1, 0), 1.0)
+        workers.tick(2.0)
+        workers.checkin(report(1, 2, workers.base), 6.0)
+        machine = workers.books.machines["m-1"]
+        job = workers.books.jobs["j-123456"] = Job(spec(id="j-123456", tasks=9999, cpus=0.001))
+        view = MachineView("m-1", "g", "a", False, (8.0, 0.0, 16.0), (8.0, 0.0, 16.0))
+        assert view.fits(spec(tasks=9999, cpus=0.001, ram=0.0)) == c.MACHINE_TASKS
+        number = workers.books.new_attempt_number()
+        for task in range(9000, 9000 + c.MACHINE_TASKS + 50):
+            workers.books.book(job, task, number, machine, "r").enter(AttemptPhase.INTENDED, 6.0)
+        told = []
+        for seq in (3, 4):
+            workers.tick(4.0 + seq)
+            seen = [
+                TaskReport(x["parcel"][:8], int(x["parcel"][9:]), x["try"], TaskState.RUNNING,
+                           None, False)
+                for x in told
+            ]  # fmt: skip
+            answer = workers.checkin(report(1, seq, workers.token, seen), 5.0 + seq)[1]
+            assert answer is not None
+            assert len(orjson.dumps(answer)) < 60 * 1024
+            told += answer["writs"]
+        assert len({x["parcel"] for x in told}) == c.MACHINE_TASKS + 50
+        assert workers.in_reports(machine) == c.MACHINE_TASKS + 50
+
+    asyncio.run(run())
