--- a/peathall/fleet/planner.py
+++ b/peathall/fleet/planner.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from peathall.placement.planner import EPS, JobView, fits_in
+from peathall.placement.views import EPS, JobView, fits_in
 from peathall.wire.names import JobSpec, MachineType
 
 
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -14,7 +14,7 @@
 from peathall.fleet.account import Account
 from peathall.fleet.planner import Bin, Offer, all_offers, plan_rentals, suits
 from peathall.jobs.model import JobPhase
-from peathall.placement.planner import JobView
+from peathall.placement.views import JobView
 from peathall.settings import CloudSettings, Params, WorkerSettings
 from peathall.store.budget import Budget
 from peathall.store.client import Put
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -12,16 +12,9 @@
 from peathall.books import Books
 from peathall.jobs.model import Attempt, AttemptPhase, Job, JobPhase, Trust
 from peathall.jobs.ranges import Ranges
-from peathall.placement.planner import (
-    Detail,
-    JobView,
-    MachineView,
-    Plan,
-    Round,
-    Start,
-    Victim,
-    latest_start,
-)
+from peathall.placement.ordering import latest_start
+from peathall.placement.planner import Round
+from peathall.placement.views import Detail, JobView, MachineView, Plan, Start, Victim
 from peathall.settings import Params
 from peathall.store.client import Item, Put
 from peathall.store.writer import Writer
--- /dev/null
+++ b/peathall/placement/views.py
@@ -0,0 +1,241 @@
+"""What a round looks at: views of machines, jobs and attempts, and the plan it makes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Container, Iterable, Sequence
+
+from peathall import constants as c
+from peathall.wire.names import JobSpec
+
+EPS = 1e-6  # of a CPU, GPU or GB; sums of decimal numbers are not exact
+
+
+class Victim:
+    """An attempt that could be stopped to make room."""
+
+    __slots__ = (
+        "cpus",
+        "ends",
+        "gpus",
+        "guaranteed",
+        "key",
+        "lost",
+        "priority",
+        "ram",
+        "team",
+    )
+
+    def __init__(
+        self,
+        key: tuple[str, int],
+        need: tuple[float, float, float],
+        priority: int,
+        team: str,
+        guaranteed: bool,
+        lost: float,
+        ends: float = 0.0,
+    ) -> None:
+        self.key = key
+        self.cpus, self.gpus, self.ram = need
+        self.priority = priority
+        self.team = team
+        self.guaranteed = guaranteed  # its job is within its own team's guarantee
+        self.lost = lost  # machine seconds that stopping it would lose
+        self.ends = ends  # seconds after which it should end by itself, by its owner's estimate
+
+
+class Detail:
+    """What only some decisions need to know of a machine."""
+
+    __slots__ = ("_by_end", "_sorted", "_victims", "coming", "pulling")
+
+    def __init__(
+        self,
+        pulling: Iterable[str] = (),
+        coming: tuple[float, float, float] = (0.0, 0.0, 0.0),
+        victims: Iterable[Victim] = (),
+    ) -> None:
+        self.pulling = set(pulling)  # images that are on their way here
+        self.coming = list(coming)  # room of attempts that are being stopped
+        self._victims = victims  # not gone through unless somebody may have to be stopped
+        self._sorted: list[Victim] | None = None
+        self._by_end: list[Victim] | None = None
+
+    @property
+    def victims(self) -> list[Victim]:
+        """In the order in which they would be stopped."""
+        if self._sorted is None:
+            self._sorted = sorted(self._victims, key=lambda v: (-v.priority, v.lost, v.key))
+        return self._sorted
+
+    @property
+    def by_end(self) -> list[Victim]:
+        """In the order in which they should end by themselves."""
+        if self._by_end is None:
+            self._by_end = sorted(self.victims, key=lambda v: v.ends)
+        return self._by_end
+
+
+class MachineView:
+    __slots__ = (
+        "_detail",
+        "cpus",
+        "detail",
+        "free",
+        "gpus",
+        "images",
+        "kept_for",
+        "key",
+        "name",
+        "ram",
+        "slots",
+        "spot",
+        "stale",
+        "type",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        type_: str,
+        zone: str,
+        spot: bool,
+        size: tuple[float, float, float],
+        free: tuple[float, float, float],
+        images: Container[str] = (),
+        stale: int = 0,
+        detail: Callable[[], Detail] = Detail,
+        slots: int = c.MACHINE_TASKS,
+    ) -> None:
+        self.slots = slots  # how many more tasks its reports have room for
+        self.name = name
+        self.key = name.encode()
+        self.type = type_
+        self.zone = zone
+        self.spot = spot
+        self.cpus, self.gpus, self.ram = size
+        self.free = list(free)
+        self.images = images
+        self.stale = stale  # whole report intervals since the last report
+        self.detail = detail
+        self._detail: Detail | None = None
+        self.kept_for: float | None = None  # seconds until a gang that waits for it can start
+
+    def look(self) -> Detail:
+        """Looked up once a round, and only if a decision depends on it."""
+        if self._detail is None:
+            self._detail = self.detail()
+        return self._detail
+
+    def room(self) -> list[float]:
+        """Free room, and room that is being freed."""
+        return [a + b for a, b in zip(self.free, self.look().coming, strict=True)]
+
+    def fits(self, spec: JobSpec) -> int:
+        """How many tasks of the job fit into the free room."""
+        return min(fits_in(self.free, spec), self.slots)
+
+    def take(self, spec: JobSpec, count: int) -> None:
+        self.slots -= count
+        self.free[0] -= spec.cpus * count
+        self.free[1] -= spec.gpus * count
+        self.free[2] -= spec.ram * count
+
+
+class Group:
+    """Machines of one type, zone and kind: what a job allows, it allows for all of them."""
+
+    __slots__ = ("machines", "open", "spot", "type", "zone")
+
+    def __init__(self, sample: MachineView) -> None:
+        self.type, self.zone, self.spot = sample.type, sample.zone, sample.spot
+        self.machines: list[MachineView] = []
+        self.open: list[MachineView] = []  # with room for the smallest task that waits
+
+
+class JobView:
+    __slots__ = (
+        "aged",
+        "avoid",
+        "covered",
+        "fetch_s",
+        "latest_start",
+        "lingering",
+        "probe",
+        "running_zones",
+        "spec",
+        "submitted",
+        "todo",
+        "urgent",
+    )
+
+    def __init__(
+        self,
+        spec: JobSpec,
+        todo: int,
+        covered: bool = False,
+        latest_start: float = 0.0,
+        running_zones: dict[str, int] | None = None,
+        lingering: bool = False,
+        urgent: bool = True,
+        avoid: Iterable[str] = (),
+        fetch_s: float = 0.0,
+        aged: bool = False,
+        probe: bool = False,
+    ) -> None:
+        self.spec = spec
+        self.todo = todo
+        self.covered = covered  # within the team's guarantee
+        self.latest_start = latest_start  # time of day; past means that the aim is missed
+        self.running_zones = running_zones or {}
+        self.fetch_s = fetch_s  # about what a machine without the image loses
+        self.avoid = frozenset(avoid)  # machines on which it failed
+        self.urgent = urgent  # an aim is lost unless it starts soon: worth stopping others
+        self.aged = aged  # has waited so long that nothing may go before it any more
+        self.probe = probe  # of a job that may be mistaken: nobody makes room for it
+        self.lingering = lingering  # a gang with attempts that are not gone yet
+
+
+class Start:
+    __slots__ = ("count", "job", "machine")
+
+    def __init__(self, job: str, machine: str, count: int) -> None:
+        self.job = job
+        self.machine = machine
+        self.count = count
+
+    def __repr__(self) -> str:
+        return f"Start({self.job}, {self.machine}, {self.count})"
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Start) and repr(self) == repr(other)
+
+    __hash__ = None  # type: ignore[assignment]
+
+
+class Plan:
+    def __init__(self) -> None:
+        self.starts: list[Start] = []
+        self.stops: list[tuple[str, int]] = []  # (job, task) to be stopped with time to save
+        self.short: list[tuple[JobView, int]] = []  # jobs that lack room, and for how many tasks
+        self.leftover: dict[str, list[float]] = {}  # room left on each machine
+
+
+def fits_in(free: Sequence[float], spec: JobSpec) -> int:
+    count = spec.tasks
+    if spec.cpus > 0:
+        count = min(count, int((free[0] + EPS) / spec.cpus))
+    if spec.gpus > 0:
+        count = min(count, int((free[1] + EPS) / spec.gpus))
+    if spec.ram > 0:
+        count = min(count, int((free[2] + EPS) / spec.ram))
+    return max(0, count)
+
+
+def allowed(machine: MachineView | Group, spec: JobSpec) -> bool:
+    return (
+        (spec.types is None or machine.type in spec.types)
+        and (spec.zone is None or machine.zone == spec.zone)
+        and (spec.spot or not machine.spot)
+    )
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -8,7 +8,7 @@
 from peathall import constants as c
 from peathall.fleet.planner import Offer
 from peathall.fleet.service import CloudError, Fleet
-from peathall.placement.planner import JobView
+from peathall.placement.views import JobView
 from peathall.wire.names import ListedMachine
 from peathall.workers.model import Machine, MachinePhase
 from peathall.workers.service import Workers
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -6,15 +6,9 @@
 from collections import Counter
 
 from peathall.fleet.planner import Bin, Offer, plan_rentals
-from peathall.placement.planner import (
-    Detail,
-    JobView,
-    MachineView,
-    Round,
-    Victim,
-    latest_start,
-    make_plan,
-)
+from peathall.placement.ordering import latest_start
+from peathall.placement.planner import Round, make_plan
+from peathall.placement.views import Detail, JobView, MachineView, Victim
 from peathall.settings import Objective, Team
 from peathall.wire.names import JobSpec, MachineType
 
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -14,7 +14,7 @@
 from peathall.jobs.model import Attempt, AttemptPhase, Job
 from peathall.leadership.lease import first_attempt, token
 from peathall.peers.service import Peers
-from peathall.placement.planner import MachineView
+from peathall.placement.views import MachineView
 from peathall.settings import CloudSettings, Params, Peer, StateSettings, Team, WorkerSettings
 from peathall.store.client import Item
 from peathall.store.writer import Writer
