--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -65,6 +65,7 @@
 SICK_JOBS = 3  # different jobs that failed in a row on a machine before it is emptied
 SUSPECT_MACHINES = 2  # on which a job failed that went well nowhere: its own fault, perhaps
 REVOKE_MACHINES = 3  # on which one failed that had gone well before
+SUSPECTS_KEPT = 200  # in the record that a new leader reads; some 16 bytes each
 PROOF_S = 5.0  # s; what fails of itself fails at its start: longer, and it goes well
 AVOID_MACHINES = 3  # machines that a failing job avoids; a mistaken job would avoid them all
 ERROR_BACKOFF_S = 2.0  # s; doubled with each failed start of a suspect job
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -23,6 +23,7 @@
 from peathall.wire.names import JobSpec, Report
 from peathall.workers.caches import CACHE, Caches
 from peathall.workers.service import Workers
+from peathall.workers.suspects import SUSPECTS, Suspects
 
 log = logging.getLogger("peathall.leader")
 
@@ -69,6 +70,7 @@
         self.caches = Caches(self.books, self.writer)
         self.workers.on_images = self.caches.changed
         self.workers.on_confirmed = self.caches.recall
+        self.suspects = Suspects(self.books, self.workers.blame, self.writer)
         self.jobs = Jobs(self.books, params, store, self.writer, self._nudge, self._cancelled, wall)
         self.placement = Placement(
             self.books, params, self.writer, self.workers, wall, self.may_act
@@ -158,6 +160,7 @@
                 done, _ = await self.store.scan(records.DONE)
                 rounds, _ = await self.store.scan(ROUND)
                 caches, _ = await self.store.scan(CACHE)
+                suspects = await self.store.get(SUSPECTS)
                 break
             except StoreError as exc:
                 log.info("reading the records: %s", exc)
@@ -167,6 +170,7 @@
             self.fleet.set_types(types.value["builds"])
         self.jobs.load(live, done, revision)
         self.caches.load(caches)
+        self.suspects.load(suspects)
         self.placement.load(rounds, self.loop.time())
         self.workers.took_over = self.loop.time()
 
--- a/peathall/workers/blame.py
+++ b/peathall/workers/blame.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from peathall import constants as c
 from peathall.books import Books
 from peathall.jobs.model import Attempt, Job, Trust
@@ -15,6 +17,7 @@
 class Blame:
     def __init__(self, books: Books) -> None:
         self.books = books
+        self.on_suspects: Callable[[], None] = lambda: None  # one more, or one less
         self.watched: dict[str, Job] = {}  # jobs that failed and have not gone well since
 
     def failed(self, attempt: Attempt, ran_s: float, now: float) -> list[Machine]:
@@ -27,11 +30,11 @@
         if attempt.number != job.struck:
             job.struck = attempt.number  # tasks that were started together fail together
             job.strikes += 1
-        limit = c.REVOKE_MACHINES if job.trust is Trust.PROVEN else c.SUSPECT_MACHINES
-        if len(job.failed_on) >= limit:
+        limit = {Trust.PROVEN: c.REVOKE_MACHINES, Trust.UNKNOWN: c.SUSPECT_MACHINES}
+        if len(job.failed_on) >= limit.get(job.trust, 1):
             if job.trust is not Trust.SUSPECT:
-                job.enter_trust(Trust.SUSPECT)
-                job.strikes = 1
+                self.suspect(job, 1)
+                self.on_suspects()
             # Not one machine is to blame for what fails on several.
             for name in job.failed_on:
                 other = self.books.machines.get(name)
@@ -46,6 +49,11 @@
         sick = job.trust is Trust.PROVEN or len(machine.failed_jobs) >= c.SICK_JOBS
         return [machine] if sick else []
 
+    def suspect(self, job: Job, strikes: int) -> None:
+        job.enter_trust(Trust.SUSPECT)
+        job.strikes = strikes
+        self.watched[job.spec.id] = job
+
     def went_well(self, job: Job, machine: Machine, now: float) -> list[Machine]:
         """A task of the job has ended as it should. Returns the machines that are sick."""
         machine.proved_at = now
@@ -54,9 +62,12 @@
         return self._proven(job)
 
     def _proven(self, job: Job) -> list[Machine]:
+        suspect = job.trust is Trust.SUSPECT
         job.enter_trust(Trust.PROVEN)
         if self.watched.pop(job.spec.id, None) is None:
             return []
+        if suspect:
+            self.on_suspects()
         job.strikes = 0
         job.backoff_until = 0.0
         failed = [(self.books.machines.get(name), at) for name, at in job.failed_on.items()]
--- /dev/null
+++ b/peathall/workers/suspects.py
@@ -0,0 +1,44 @@
+"""Which jobs may be mistaken, kept in the state service across take-overs, all in one record.
+
+Only a hint: a new leader that does not know it starts such a job once in full.
+"""
+
+from __future__ import annotations
+
+from peathall import constants as c
+from peathall.books import Books
+from peathall.jobs.model import Trust
+from peathall.store.client import Item, Put
+from peathall.store.writer import Change, Writer
+from peathall.workers.blame import Blame
+
+SUSPECTS = "suspects"
+
+
+class Suspects:
+    def __init__(self, books: Books, blame: Blame, writer: Writer) -> None:
+        self.books = books
+        self.blame = blame
+        self.writer = writer
+        blame.on_suspects = self.changed
+
+    def load(self, item: Item | None) -> None:
+        if item is None:
+            return
+        self.writer.versions[SUSPECTS] = item.version
+        for job_id, strikes in item.value["jobs"]:
+            job = self.books.jobs.get(job_id)
+            if job is not None and not job.done:
+                self.blame.suspect(job, strikes)
+
+    def changed(self) -> None:
+        """Written when nothing that matters more waits; as seldom as the set changes."""
+        self.writer.offer(SUSPECTS, self._change)
+
+    def _change(self) -> Change:
+        found = [
+            [job.spec.id, job.strikes]
+            for job in self.blame.watched.values()
+            if job.trust is Trust.SUSPECT and self.books.jobs.get(job.spec.id) is job
+        ]
+        return Change({}, [Put(SUSPECTS, {"jobs": found[-c.SUSPECTS_KEPT :]})])
--- a/tests/unit/test_blame.py
+++ b/tests/unit/test_blame.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
 from peathall import constants as c
 from peathall.books import Books
 from peathall.jobs.model import Attempt, AttemptPhase, Job, Trust
+from peathall.store.client import Item, Put
+from peathall.store.writer import Writer
 from peathall.workers.blame import Blame
 from peathall.workers.model import MachinePhase
+from peathall.workers.suspects import Suspects
 from tests.unit.test_planner import spec
 
 
@@ -170,3 +176,33 @@
     assert set(floor.emptied) == floor.sick
     for job in floor.books.jobs.values():
         assert (job.spec.id in floor.mistaken) == bool(job.todo)
+
+
+def test_a_suspect_job_is_one_for_the_next_leader_too() -> None:
+    """It was started in full again by every leader."""
+
+    async def run() -> None:
+        floor = Floor(4)
+        floor.mistaken.add("j-1")
+        job = floor.job(1, 50)
+        nothing: Any = SimpleNamespace(limits=None)
+        suspects = Suspects(
+            floor.books, floor.blame, Writer(nothing, nothing, ("lead", 1), bool, bool)
+        )
+        floor.start(job, ["m-0", "m-1", "m-2"], 0.0)
+        (make,) = suspects.writer.spare.values()
+        change = make()
+        assert change is not None
+        (put,) = change.ops
+        assert isinstance(put, Put)
+        later = Floor(4)
+        later.mistaken.add("j-1")
+        again = later.job(1, 50)
+        writer = Writer(nothing, nothing, ("lead", 2), bool, bool)
+        Suspects(later.books, later.blame, writer).load(Item(put.key, put.value, 5))
+        assert again.trust is Trust.SUSPECT
+        later.start(again, ["m-3"], 10.0)
+        assert again.backoff_until == 10.0 + 2 * c.ERROR_BACKOFF_S
+        assert later.books.machines["m-3"].failed_jobs == set()
+
+    asyncio.run(run())
