--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -379,9 +379,16 @@
             del self.homes[home]
 
     async def _find_twin(self, job_id: str) -> None:
-        item = await self.store.get(records.JOB + job_id)
-        if item is not None:
-            self._twin(item)
+        """Archiving it failed: learn what stands in the store before it is tried again."""
+        try:
+            for key in (records.JOB + job_id, records.PAST + job_id):
+                item = await self.store.get(key)
+                if item is None:
+                    self.writer.versions.pop(key, None)
+                else:
+                    self.writer.versions[key] = item.version
+        except StoreError as exc:
+            log.debug("reading the records of %s: %s", job_id, exc)
 
     def _twin(self, item: Item) -> None:
         """A job as another controller accepted it: new to us, or known in another record."""
--- /dev/null
+++ b/tests/unit/test_jobs.py
@@ -0,0 +1,128 @@
+"""Records of jobs: shared, rewritten when some are archived, and their twins elsewhere."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from peathall.books import Books
+from peathall.jobs import records
+from peathall.jobs.service import Jobs
+from peathall.settings import CloudSettings, Params, Team, WorkerSettings
+from peathall.store.writer import Writer
+from peathall.wire import names
+from peathall.wire.names import MachineType
+from tests.unit.test_planner import spec
+from tests.unit.test_store import LIMITS, FakeStore
+
+KIND = MachineType("g", 8.0, 0.0, 16.0, 50.0, 1.0, 10.0, 3.0, 30.0, ["a"])
+PARAMS = Params(
+    WorkerSettings(3.0, 24.0, 40.0, 4.0, 40.0), LIMITS, CloudSettings(4.0, 4.0), [Team("t")]
+)
+
+
+def leader(store: FakeStore, term: int) -> Jobs:
+    client: Any = store
+    store.write("lead", {"term": term})
+    books = Books(term, 0)
+    books.types = {"g": KIND}
+    writer = Writer(client, LIMITS, ("lead", store.revision), lambda: True, lambda: None)
+    return Jobs(books, PARAMS, client, writer, lambda: None, lambda job: None, lambda: 0.0)
+
+
+async def rebuilt(store: FakeStore, term: int) -> Jobs:
+    jobs = leader(store, term)
+    live, revision = await store.scan(records.LIVE)
+    done, _ = await store.scan(records.DONE)
+    jobs.load(live, done, revision)
+    return jobs
+
+
+async def settle(jobs: Jobs) -> None:
+    """Until nothing is left to be written."""
+    for _ in range(200):
+        await asyncio.sleep(0)
+        if not (jobs.writer.queue or jobs.writer.first or jobs.writer.spare or jobs.tasks):
+            break
+
+
+async def look_after(jobs: Jobs) -> None:
+    for job in list(jobs.books.jobs.values()):
+        jobs.look_after(job)
+    await settle(jobs)
+
+
+def ends(jobs: Jobs, *ids: str) -> None:
+    for job_id in ids:
+        job = jobs.books.jobs[job_id]
+        job.mark_all_done()
+        jobs.note_done(job)
+
+
+def test_a_twin_in_another_record_never_brings_an_archived_job_back() -> None:
+    """Accepted by the leader and, late, by a follower that had no answer: once the job was
+    over, that other record would have made it an accepted job again after a take-over."""
+
+    async def run() -> None:
+        store = FakeStore()
+        jobs = leader(store, 1)
+        running = asyncio.create_task(jobs.writer.run())
+        ids = [f"j-{n}" for n in range(5)]
+        answers = await asyncio.gather(*(jobs.accept(spec(id=job_id)) for job_id in ids))
+        assert [status for status, _ in answers] == [201] * 5
+        assert len([k for k in store.data if k.startswith(records.JOBS)]) == 1
+        store.write("live/job/j-1", names.spec_to_record(spec(id="j-1")))  # we don't hear of it
+        ends(jobs, "j-0", "j-1", "j-2")
+        for _ in range(4):
+            await look_after(jobs)
+        assert sorted(jobs.books.jobs) == ["j-3", "j-4"]
+        assert {k for k in store.data if k.startswith(records.PAST)} == {
+            "past/j-0", "past/j-1", "past/j-2",
+        }  # fmt: skip
+        assert "live/job/j-1" not in store.data
+        running.cancel()
+
+        later = await rebuilt(store, 2)
+        assert sorted(later.books.jobs) == ["j-3", "j-4"]
+        running = asyncio.create_task(later.writer.run())
+        assert (await later.query("j-1"))[1] == names.job_status("j-1", names.Standing.DONE, 1)
+        assert (await later.query("j-9"))[0] == 404
+        ends(later, "j-3", "j-4")
+        for _ in range(4):
+            await look_after(later)
+        assert not [k for k in store.data if k.startswith(records.LIVE)]  # nothing is left over
+        running.cancel()
+
+    asyncio.run(run())
+
+
+def test_a_job_that_two_records_hold_is_one_job_and_keeps_the_shared_one() -> None:
+    """Whichever is read first: dropping the shared record would forget its other jobs."""
+
+    async def run() -> None:
+        store = FakeStore()
+        for key, value in (
+            ("live/ends/00000001-0000001", {"ends": [["j-2", "aborted", 0]]}),
+            ("live/job/j-1", names.spec_to_record(spec(id="j-1"))),
+            ("live/job/j-2", names.spec_to_record(spec(id="j-2"))),
+            (
+                "live/jobs/00000001-0000001",
+                {"jobs": [names.spec_to_record(spec(id=job_id)) for job_id in ("j-1", "j-3")]},
+            ),
+        ):
+            store.write(key, value)
+        jobs = await rebuilt(store, 2)
+        running = asyncio.create_task(jobs.writer.run())
+        await settle(jobs)
+        assert sorted(jobs.books.jobs) == ["j-1", "j-2", "j-3"]
+        assert jobs.books.jobs["j-2"].standing is names.Standing.CANCELLED
+        assert "live/job/j-1" not in store.data
+        assert "live/jobs/00000001-0000001" in store.data
+        # News of it that came before what we knew ourselves: the shared record stays.
+        jobs.adopt(names.spec_to_record(spec(id="j-4")), "live/job/j-4")
+        jobs.adopt(names.spec_to_record(spec(id="j-4")), "live/jobs/00000002-0000001")
+        assert jobs.books.jobs["j-4"].home == "live/jobs/00000002-0000001"
+        assert list(jobs.homes["live/jobs/00000002-0000001"]) == ["j-4"]
+        running.cancel()
+
+    asyncio.run(run())
