--- a/peathall/books.py
+++ b/peathall/books.py
@@ -71,8 +71,8 @@
         self.machines[attempt.machine].give_back(attempt, now)
         del job.attempts[attempt.task]
         job.requeue(attempt.task)
-        if not job.attempts:
-            job.idle_since = now
+        if job.began and not job.attempts:
+            job.idle_since = now  # a start that came to nothing has ended no wait
         use = self.usage[job.spec.team]
         use[0] -= job.spec.cpus
         use[1] -= job.spec.gpus
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -81,6 +81,7 @@
     __slots__ = (
         "attempts",
         "backoff_until",
+        "began",
         "done",
         "end",
         "failed_on",
@@ -100,6 +101,7 @@
 
     def __init__(self, spec: JobSpec, now: float = 0.0) -> None:
         self.spec = spec
+        self.began = False  # a task of it has run, as far as is known
         self.idle_since = now  # steady time since which none of its tasks has a place
         self.phase = JobPhase.ACTIVE
         self.done = Ranges()  # reported done, perhaps not stored yet
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -250,6 +250,7 @@
         before = attempt.phase
         attempt.seen = item
         attempt.session = machine.session
+        attempt.job.began |= item.state is TaskState.RUNNING
         attempt.enter(PHASE_OF[item.state], now)
         if before is not attempt.phase:
             log.debug(
@@ -290,6 +291,7 @@
         return Exits(item.job, item.task, item.attempt, done, direct_token, settled)
 
     def _done(self, job: Job, task: int, machine: Machine, now: float) -> None:
+        job.began = True
         self._empty_sick(self.blame.went_well(job, machine, now))
         if job.spec.gang:
             # The tasks of a gang complete together: when one is done, all are.
