--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -98,6 +98,8 @@
 PROBE_LATER_S = 1e6  # s; probes of suspect jobs come after all others of their priority
 AGED_S = 150.0  # s; a job that none of its tasks has a place for so long goes before all
 # others: the largest must begin within four minutes, however many smaller ones come
+GATHER_S = 10.0  # s for each task of a gang but one: the gang counts as aged so much sooner
+GATHER_MOST_S = 90.0  # s; at most
 ESTIMATE_FLOOR = 0.3  # of the estimate is expected to be left of a task that outlives it
 FETCH_WORTH_S = 10.0  # s; a longer fetch is worth clearing a machine that has the image
 URGENT_S = 30.0  # s; with more time left to meet an aim, a job waits rather than stop others
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -88,6 +88,7 @@
         "fails_after",
         "home",
         "idle_since",
+        "late",
         "phase",
         "settling",
         "spec",
@@ -101,6 +102,7 @@
 
     def __init__(self, spec: JobSpec, now: float = 0.0) -> None:
         self.spec = spec
+        self.late = False  # it was started only once it had aged
         self.began = False  # a task of it has run, as far as is known
         self.idle_since = now  # steady time since which none of its tasks has a place
         self.phase = JobPhase.ACTIVE
--- a/peathall/placement/ordering.py
+++ b/peathall/placement/ordering.py
@@ -61,6 +61,11 @@
     return job.todo * max(shares, default=0.0) * spec.estimate_s
 
 
+def gathering_s(spec: JobSpec) -> float:
+    """By how much sooner a gang counts as aged: its machines fall free one by one."""
+    return min(c.GATHER_MOST_S, c.GATHER_S * (spec.tasks - 1)) if spec.gang else 0.0
+
+
 def order(job: JobView, totals: tuple[float, float]) -> tuple[float, ...]:
     # Gangs go before independent tasks of their priority: those fill any gap that is
     # left, while a gang would wait for ever for a gap as large as itself.
@@ -69,5 +74,5 @@
     # time, more of them are.
     start = job.latest_start + c.EFFORT_WEIGHT * effort(job, totals)
     if job.aged:
-        return (-1, spec.submitted)
+        return (-1, spec.submitted - gathering_s(spec))
     return (spec.priority, not job.covered, not spec.gang, start, spec.submitted)
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -12,7 +12,7 @@
 from peathall.books import Books
 from peathall.jobs.model import Attempt, AttemptPhase, Job, JobPhase, Trust
 from peathall.jobs.ranges import Ranges
-from peathall.placement.ordering import latest_start
+from peathall.placement.ordering import gathering_s, latest_start
 from peathall.placement.planner import Round
 from peathall.placement.views import Detail, JobView, MachineView, Plan, Start, Victim
 from peathall.settings import Params
@@ -217,7 +217,7 @@
                 job.spec, probe, False, last, zones, urgent=False, avoid=avoid, probe=True
             )
         latest = latest_start(job.spec, self.params.objectives, wall, 0.0)
-        aged = not job.attempts and now - job.idle_since > c.AGED_S
+        aged = not job.attempts and self._has_aged(job, now)
         return JobView(
             job.spec,
             len(job.todo),
@@ -231,6 +231,10 @@
             fetch_s=self._fetch_s(job.spec),
         )
 
+    @staticmethod
+    def _has_aged(job: Job, now: float) -> bool:
+        return now - job.idle_since > c.AGED_S - gathering_s(job.spec)
+
     def _fetch_s(self, spec: JobSpec) -> float:
         kinds = self.books.types.values()
         rates = [k.fetch_gb_per_s for k in kinds if spec.types is None or k.name in spec.types]
@@ -265,6 +269,8 @@
                 continue
             spec = attempt.job.spec
             ran = now - attempt.since if attempt.running else 0.0
+            if attempt.job.late and ran < c.SETTLED_S:
+                continue  # it has waited so long that its start shall count
             lost = spec.save_s if spec.checkpoint_s else ran
             if ran < c.SETTLED_S:
                 lost += c.SETTLED_S  # its start would not count any more
@@ -356,6 +362,9 @@
         self._tell(starts)
         for start in starts:
             job = self.books.jobs[start.job]
+            job.late |= (
+                job.trust is not Trust.SUSPECT and not job.attempts and self._has_aged(job, now)
+            )
             number = numbers.get(start.job) or self.books.new_attempt_number()
             numbers[start.job] = number
             tasks = Ranges()
--- /dev/null
+++ b/tests/unit/test_placement.py
@@ -0,0 +1,74 @@
+"""Jobs that have waited long: placed first, and then left alone until their start counts."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+from peathall import constants as c
+from peathall.jobs.model import AttemptPhase, Job
+from peathall.placement.ordering import gathering_s, order
+from peathall.placement.service import Placement
+from peathall.placement.views import JobView, Plan, Start
+from peathall.settings import CloudSettings, Params, StateSettings, Team
+from peathall.workers.model import MachinePhase
+from tests.unit.test_planner import spec
+from tests.unit.test_workers import new_workers
+
+
+def test_a_start_that_was_waited_for_so_long_is_left_alone_and_ends_no_wait() -> None:
+    """An aged gang was stopped for others 0.3 s after its start, and waited 350 s more: its
+    wait had begun anew, though none of its tasks had run."""
+
+    async def run() -> None:
+        now = asyncio.get_running_loop().time()
+        workers = new_workers(now)
+        params = Params(
+            workers.settings, StateSettings(9.0, 9.0, 8.0, 9), CloudSettings(4.0, 4.0), [Team("t")]
+        )
+        stored: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        stored.set_result(1)
+        writer: Any = SimpleNamespace(versions={}, submit=lambda ops: stored)
+        placement = Placement(workers.books, params, writer, workers, lambda: 0.0, lambda: True)
+        machine = workers.books.machine("m-1", "g", "a", False, MachinePhase.UP, now)
+        machine.confirmed = True
+        machine.last_heard = now
+        plan = Plan()
+        for job_id, waited in (("j-1", c.AGED_S + 1.0), ("j-2", 10.0)):
+            workers.books.jobs[job_id] = Job(spec(id=job_id, gang=True), now - waited)
+            plan.starts.append(Start(job_id, "m-1", 1))
+        await placement._start(plan, now)
+        old, young = (workers.books.jobs[job_id] for job_id in ("j-1", "j-2"))
+
+        def victims(at: float) -> set[str]:
+            return {v.key[0] for v in placement._victims(machine, at, set())}
+
+        assert victims(now + 1.0) == {"j-2"}
+        for job in (old, young):
+            job.attempts[0].enter(AttemptPhase.RUNNING, now + 20.0)
+        assert victims(now + 50.0) == {"j-2"}
+        assert victims(now + 21.0 + c.SETTLED_S) == {"j-1", "j-2"}
+
+        for job in (old, young):
+            job.began = job is young
+            workers.books.release(job.attempts[0], now + 60.0)
+        assert placement._has_aged(old, now + 61.0)  # it has not run: its wait goes on
+        assert not placement._has_aged(young, now + 61.0)
+        assert placement._has_aged(young, now + 61.0 + c.AGED_S)
+
+    asyncio.run(run())
+
+
+def test_among_those_that_have_aged_a_large_gang_need_not_be_the_oldest() -> None:
+    """Its machines fall free one by one, while a small one finds its own soon."""
+
+    def aged(tasks: int, submitted: float) -> tuple[float, ...]:
+        return order(
+            JobView(spec(gang=True, tasks=tasks, submitted=submitted), tasks, aged=True), (9.0, 9.0)
+        )
+
+    assert aged(8, 60.0) < aged(1, 0.0)
+    assert aged(1, 0.0) < aged(8, 80.0)
+    assert gathering_s(spec(gang=True, tasks=100)) == c.GATHER_MOST_S < c.AGED_S
+    assert gathering_s(spec(gang=False, tasks=100)) == 0.0
