--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -18,6 +18,7 @@
 from peathall.settings import CloudSettings, Params, Peer, StateSettings, Team, WorkerSettings
 from peathall.store.client import Item
 from peathall.store.writer import Writer
+from peathall.wire.body import json_size
 from peathall.wire.http import Request
 from peathall.wire.names import MachineType, Report, TaskReport, TaskState, report_from_wire
 from peathall.workers.caches import Caches
@@ -272,7 +273,7 @@
         assert len(records) == c.CACHE_RECORDS
         later = Caches(workers.books, Writer(None, store, ("lead", 1), lambda: True, lambda: None))  # type: ignore[arg-type]
         puts = [op for change in records if change is not None for op in change.ops]
-        assert all(orjson.dumps(op.value).__len__() <= 8 * 1024 for op in puts)  # type: ignore[union-attr]
+        assert all(json_size(op.value) <= 8 * 1024 for op in puts)  # type: ignore[union-attr]
         later.load([Item(op.key, op.value, 7) for op in puts])  # type: ignore[union-attr]
         for number in range(900):
             machine = workers.books.machines[f"m-{number}"]
@@ -309,7 +310,7 @@
             ]  # fmt: skip
             answer = workers.checkin(report(1, seq, workers.token, seen), 5.0 + seq)[1]
             assert answer is not None
-            assert len(orjson.dumps(answer)) < 60 * 1024
+            assert json_size(answer) < 60 * 1024
             told += answer["writs"]
         assert len({x["parcel"] for x in told}) == c.MACHINE_TASKS + 50
         assert workers.in_reports(machine) == c.MACHINE_TASKS + 50
