--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -107,7 +107,11 @@
 LIST_PAGE = 500  # machines in one page of the list (protocol)
 RENT_GAP_S = 0.5  # s; least distance of two plans of what to rent
 NO_CAPACITY_S = 12.0  # s; before a refused type, zone and kind is asked for again
-BOOT_PATIENCE = 4.0  # times startup_s; a machine that is not up by then is returned
+BOOT_PATIENCE = 4.0  # times startup_s; a machine that is not up by then, though others are that
+# were rented no sooner, is returned
+BOOT_PATIENCE_ALL = 8.0  # times startup_s; the same if none is: the cloud is late with all
+BOOT_LATE = 1.75  # times startup_s; others have then come up at 1.5 times: rent one in its place
+BORN_TOGETHER_S = 2.0  # s; machines rented at about the same time
 BOOT_PATIENCE_MIN_S = 60.0  # s; a deleted machine costs 60 s in any case
 UNLISTED_LAGS = 8.0  # list lags; a machine that reports no more and is unlisted so long is gone
 QUIET_HOLD_S = 4.0  # s; the same once no job has arrived for a boot time
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -43,8 +43,8 @@
 
 
 class CloudClient:
-    def __init__(self, addr: str, settings: CloudSettings) -> None:
-        self.http = HttpClient(addr)
+    def __init__(self, addr: str, settings: CloudSettings, may_send: Callable[[], bool]) -> None:
+        self.http = HttpClient(addr, may_send=may_send)
         self.loop = asyncio.get_running_loop()
         self.budget = Budget(settings.rps * 0.9, settings.rps)
 
@@ -123,6 +123,7 @@
         self.short: list[tuple[JobView, int]] = []
         self.leftover: dict[str, list[float]] = {}  # room that the last round left free
         self.unsure: list[tuple[str, Offer, int]] = []  # rentals without an answer
+        self.latest_up: dict[str, float] = {}  # machine type -> see _note_boots()
         self.made_way_at = -1e9
         self.failed: list[str] = []  # stopped by themselves; to be taken off the list
         self.account = Account()
@@ -221,7 +222,6 @@
         for item in listed:
             if item.name in self.books.deleted:
                 continue
-            new = item.name not in self.books.machines
             # One that runs and is new to us came up under an earlier leader: whether it is
             # silent is judged by what it reports from now on, not by its age.
             up = item.state == "running"
@@ -233,8 +233,7 @@
                 MachinePhase.UNHEARD if up else MachinePhase.BOOTING,
                 now,
             )
-            if new:
-                machine.born = now - item.age_s
+            machine.born = min(machine.born, now - item.age_s)
             machine.listed_at = now
             machine.vouched = True
             if not machine.addr:
@@ -260,6 +259,7 @@
 
     def _to_delete(self, now: float) -> list[Machine]:
         self.workers.attend(now)
+        self._note_boots()
         heard, knocks = self._heard_share(now), self.workers.knocking()
         chosen = []
         for machine in self.books.machines.values():
@@ -281,9 +281,9 @@
         if phase is MachinePhase.DELETING:
             return "again"
         if phase is MachinePhase.BOOTING:
-            size = self.books.types.get(machine.type)
-            patience = max(c.BOOT_PATIENCE_MIN_S, c.BOOT_PATIENCE * (size.boot_s if size else 60.0))
-            return "it never came up" if now - machine.born > patience else ""
+            patience = c.BOOT_PATIENCE if self._overtaken(machine) else c.BOOT_PATIENCE_ALL
+            late = now - machine.born > max(c.BOOT_PATIENCE_MIN_S, patience * self._boot_s(machine))
+            return "it never came up" if late else ""
         if phase is MachinePhase.DRAINING:
             if not machine.attempts:
                 return machine.why_draining
@@ -406,10 +406,27 @@
         # Machines take long to boot: planning for them with every round would gain nothing.
         await asyncio.sleep(c.RENT_GAP_S)
 
+    def _boot_s(self, machine: Machine) -> float:
+        size = self.books.types.get(machine.type)
+        return size.boot_s if size is not None else c.BOOT_PATIENCE_MIN_S
+
+    def _overtaken(self, machine: Machine) -> bool:
+        """Whether one like it, rented no sooner, has come up: then the delay is its own. If
+        none has, the cloud is late with all, and others rented instead would be as late."""
+        return machine.born <= self.latest_up.get(machine.type, -1e9) + c.BORN_TOGETHER_S
+
+    def _note_boots(self) -> None:
+        """When the latest-rented machine of each type was rented that has come up."""
+        for machine in self.books.machines.values():
+            if machine.phase is MachinePhase.UP and machine.vouched:
+                latest = self.latest_up.get(machine.type, -1e9)
+                self.latest_up[machine.type] = max(latest, machine.born)
+
     def _wakes(self, machine: Machine, now: float) -> bool:
         """Whether the machine, not in use yet, should soon be."""
         if machine.phase is MachinePhase.BOOTING:
-            return True
+            late = now - machine.born > c.BOOT_LATE * self._boot_s(machine)
+            return not (late and self._overtaken(machine))
         if not machine.vouched:
             return False  # perhaps a late report, or a record, of one long gone
         if machine.phase is MachinePhase.UNHEARD:
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -52,7 +52,9 @@
         self.store = StateClient(
             settings.services.state, settings.params.state, 1 + len(settings.peers)
         )
-        self.cloud = CloudClient(settings.services.cloud, settings.params.cloud)
+        self.cloud = CloudClient(
+            settings.services.cloud, settings.params.cloud, lambda: self.election.may_act()
+        )
         self.leader: Leader | None = None
         self.election = Election(settings.name, self.store, self._lead, self.rng)
         self.peers = Peers(settings.peers, self._forwarded)
--- a/peathall/wire/http.py
+++ b/peathall/wire/http.py
@@ -313,13 +313,20 @@
 class HttpClient:
     """Requests to one address over kept connections, one request at a time on each."""
 
-    def __init__(self, addr: str, content_type: str = "application/cbor", keep: int = 4) -> None:
+    def __init__(
+        self,
+        addr: str,
+        content_type: str = "application/cbor",
+        keep: int = 4,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> None:
         host, _, port = addr.rpartition(":")
         self.addr = addr
         self.host = host
         self.port = int(port)
         self.content_type = content_type
         self.keep = keep
+        self.may_send = may_send
         self.idle: list[ClientConnection] = []
         self.busy = 0  # requests under way
 
@@ -357,6 +364,10 @@
             f"Content-Type: {self.content_type}\r\nContent-Length: {len(body)}\r\n\r\n"
         )
         connection = await self._connect(min(c.CONNECT_S, timeout))
+        if not self.may_send():
+            # Whoever asked for it may have stood still since: it must not leave after that.
+            connection.abort()
+            raise NoAnswerError("no longer entitled to send", sent=False)
         try:
             answer = await asyncio.wait_for(connection.send(head.encode() + body), timeout)
         except TimeoutError:
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -449,7 +449,7 @@
         hundreds of machines do not use up the sockets."""
         client = self.clients.get(addr)
         if client is None:
-            client = self.clients[addr] = HttpClient(addr, keep=1)
+            client = self.clients[addr] = HttpClient(addr, keep=1, may_send=self.may_act)
         self.clients.move_to_end(addr)
         unused = [a for a, other in self.clients.items() if not other.busy and other is not client]
         for other in unused[: max(0, len(self.clients) - self.lines)]:
--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -16,6 +16,8 @@
     def __init__(self, ip: str) -> None:
         self.ip = ip
         self.alive = True
+        self.deferred = 0
+        self.frozen_until = -1.0  # nothing of it runs until then, though its clocks go on
         self.tasks: dict[asyncio.Task[Any], None] = {}  # ordered, unlike a set
         self.transports: dict[MemoryTransport, None] = {}
 
@@ -50,6 +52,37 @@
     def time(self) -> float:
         return self.now
 
+    # --- hosts that stand still ----------------------------------------------
+    def call_soon(self, callback: Any, *args: Any, context: Any = None) -> Any:
+        return self._gated(super().call_soon, callback, args, context)
+
+    def call_at(self, when: float, callback: Any, *args: Any, context: Any = None) -> Any:
+        return self._gated(super().call_at, callback, args, context, when)
+
+    def _gated(self, call: Any, callback: Any, args: Any, context: Any, *when: float) -> Any:
+        """What belongs to a host runs when the host does; cancelling it works meanwhile."""
+        context = context or contextvars.copy_context()
+        host = context.get(HOST)
+        if host is None:
+            return call(*when, callback, *args, context=context)
+        handles: list[Any] = []
+
+        def run() -> None:
+            if self.now >= host.frozen_until:
+                callback(*args)
+            elif host.alive and not handles[0].cancelled():
+                # In the order in which it would have run: all of it is due at once.
+                host.deferred += 1
+                at = host.frozen_until + 1e-9 * host.deferred
+                super(VirtualLoop, self).call_at(at, again, context=contextvars.copy_context())
+
+        def again() -> None:
+            if not handles[0].cancelled():
+                run()
+
+        handles.append(call(*when, run, context=context))
+        return handles[0]
+
     @staticmethod
     def _make_task(loop: Any, coro: Any, **kwargs: Any) -> asyncio.Task[Any]:
         task: asyncio.Task[Any] = asyncio.Task(coro, loop=loop, **kwargs)
--- a/tests/sim/state.py
+++ b/tests/sim/state.py
@@ -22,6 +22,10 @@
         self.next_lease = 0
         self.down_until = -1.0
         self.copies = 0.0  # share of requests of which a late copy is carried out once more
+        self.limits: tuple[float, float] = (1e9, 1e9)  # requests and changes a second
+        self.spent = [0.0, 0.0]
+        self.spent_at = 0.0
+        self.requests = self.refused = 0
         self.lossy = 0.0  # share of commits without an answer; half of them are applied late
 
     @property
@@ -93,14 +97,29 @@
             ttl = self.leases[lease][0]
             self.leases[lease] = (ttl, self.loop.now + ttl)
 
+    def over_limit(self, changes: int) -> bool:
+        """Bursts of one second's worth are allowed."""
+        self.requests += 1
+        for kind, rate in enumerate(self.limits):
+            self.spent[kind] = max(0.0, self.spent[kind] - rate * (self.loop.now - self.spent_at))
+        self.spent_at = self.loop.now
+        for kind, amount in enumerate((1, changes)):
+            if self.spent[kind] + amount > self.limits[kind] + 1.0:
+                self.refused += 1
+                return True
+            self.spent[kind] += amount
+        return False
+
     async def handle(self, request: Request) -> Response:
         await asyncio.sleep(self.loop.rng.random() * 0.01)
         path, query = request.path, {k: v[0] for k, v in parse_qs(request.query).items()}
+        raw = body.cbor_any(request.body)
+        if self.over_limit(len(raw["apply"]) if path == "/commit" else 0):
+            return body.cbor_response(429, {})
         if path == "/watch":
             return await self.watch(query)
         if self.down:
             return body.cbor_response(503, {})
-        raw = body.cbor_any(request.body)
         if request.method != "GET" and self.loop.rng.random() < self.copies:
             delay = 0.5 + 30 * self.loop.rng.random()
             self.loop.call_later(delay, self.again, request.method, path, raw)
--- a/tests/sim/test_days.py
+++ b/tests/sim/test_days.py
@@ -14,7 +14,7 @@
 import pytest
 
 from peathall import settings
-from peathall.wire.http import HttpClient
+from peathall.wire.http import HttpClient, NoAnswerError
 from tests.sim.net import Host, VirtualLoop
 from tests.sim.world import World
 
@@ -107,8 +107,11 @@
     while world.loop.now < until:
         number += 1
         job = draw_job(world.rng, number)
+        mistaken = world.mistakes and world.rng.random() < world.mistakes
         if world.can_run(job):
             cancel = world.rng.uniform(0, 15) if world.rng.random() < 0.2 else None
+            if mistaken:
+                job["mistaken"], cancel = True, world.rng.uniform(10, 60)
             context = world.context(Host(f"10.9.0.{number}"))
             tasks.append(world.loop.create_task(world.user(job, cancel), context=context))
         await asyncio.sleep(world.rng.expovariate(1 / 2.5))
@@ -173,6 +176,11 @@
             for _ in range(3):
                 await asyncio.sleep(rng.uniform(0.05, 4.0))
                 world.crash_node(rng.randrange(3), rng.uniform(0.02, 0.3))
+        elif kind == "freeze_leader" and leader is not None:
+            world.freeze_node(leader, rng.choice([1.0, 4.0, 11.0, 35.0]))
+        elif kind == "freeze":  # two of them, perhaps in an election
+            for index in rng.sample(range(3), 2):
+                world.freeze_node(index, rng.choice([0.5, 4.0, 15.0]))
         elif kind == "cut_peers":
             cut(world, [("10.0.0.1", "10.0.0.2"), ("10.0.0.2", "10.0.0.3")], rng.uniform(3, 15))
 
@@ -215,6 +223,7 @@
 ONE_WAY = ["deaf", "deaf_leader", "cut_worker"]
 COPIES = ["copies", "crash_leader", "cut_worker", "deaf", "die"]
 FLAPS = ["flap", "isolate", "copies"]
+FREEZES = ["freeze_leader", "freeze", "crash_leader"]
 
 
 @pytest.mark.parametrize(
@@ -235,6 +244,8 @@
         (14, FLAPS),
         (15, ["isolate", "deaf_leader", "outage"]),
         (16, CRASHES + STORE + CUTS + MACHINES + ONE_WAY + COPIES + FLAPS),
+        (17, FREEZES),
+        (18, [*FREEZES, "copies", "outage", "cut_worker"]),
         # Days on which something was found broken, with what had failed:
         (123, ["cut_node", "cut_state", "lossy"]),  # queued told while `done` was on its way
         (124, ["cut_node", "cut_state", "lossy"]),  # a doubtful commit taken for a carried-out one
@@ -364,3 +375,115 @@
 
         context = world.context(Host("10.9.0.1"))
         loop.run_until_complete(loop.create_task(play(), context=context))
+
+
+@pytest.mark.parametrize("seed", [31, 32])
+def test_mistaken_jobs_beside_sick_machines(seed: int) -> None:
+    """Arrays and gangs that fail everywhere until they are cancelled, through take-overs: the
+    others are served, and no machine is emptied that is well."""
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual(seed) as loop:
+        world = World(loop, seed, [node_settings(i) for i in range(3)])
+        world.mistakes = 0.25
+        loop.run_until_complete(day(world, ["sick", "crash_leader", "crash_leader"]))
+        assert world.broken == []
+        assert any(job.get("mistaken") for job in world.jobs.values())
+
+
+def test_thousands_of_short_tasks_and_a_swarm_through_a_take_over() -> None:
+    """One array of many short tasks and a swarm of jobs with one each, at once, at few changes
+    a second, while the leader dies: each is done, none twice, and nobody else waits long."""
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual(41) as loop:
+        replace = msgspec.structs.replace
+        plain = [node_settings(i) for i in range(3)]
+        store = replace(plain[0].params.state, rps=80.0, write_rps=15.0)
+        teams = [settings.Team("blue")]
+        params = [replace(s.params, state=store, teams=teams) for s in plain]
+        world = World(loop, 41, [replace(s, params=p) for s, p in zip(plain, params, strict=True)])
+        world.capacity = 12
+
+        async def play() -> None:
+            await world.begin()
+            users_: list[asyncio.Task[None]] = []
+
+            def submit(number: int, tasks: int, priority: str, run_s: float) -> None:
+                job = draw_job(random.Random(number), number) | {
+                    "docket": f"c{priority}", "desk": "blue", "shape": "sweep", "parcels": tasks,
+                    "precedence": priority, "vcpus": 0.25, "cards": 0.0, "ram_gb": 0.5,
+                    "builds": None, "ward": None, "together": False, "scatter": False,
+                    "standby": True, "kit": "img-0", "image_gb": 0.5, "run_s": run_s,
+                    "reckon_s": run_s,
+                }  # fmt: skip
+                context = world.context(Host(f"10.9.{number // 256}.{number % 256}"))
+                users_.append(loop.create_task(world.user(job, None), context=context))
+
+            submit(1, 4000, "idle", 4.0)
+            await asyncio.sleep(25)
+            for number in range(2, 152):
+                submit(number, 1, "standard", 2.0)
+                await asyncio.sleep(0.05)
+                if number == 80:
+                    world.crash_node(world.leader() or 0, 0.3)
+                    world.troubled_until = loop.now + 10
+            while not all(task.done() for task in users_):
+                assert loop.now < 300
+                await asyncio.sleep(1.0)
+            waits = [world.begun[j] - world.submitted[j] for j in world.jobs if j != "j-000001"]
+            assert sorted(waits)[len(waits) // 2] < 5.0
+            assert world.state.refused == 0
+
+        loop.run_until_complete(play())
+        assert world.broken == []
+        assert world.starts < 4000 + 150 + 400  # few had to be started again
+
+
+def test_a_storm_of_polls_in_a_take_over() -> None:
+    """Eight times the questions while the leader stands still, one controller asks the store for
+    them all: the budget must suffice, and every job get its answer."""
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual(51) as loop:
+        world = World(loop, 51, [node_settings(i) for i in range(3)])
+
+        async def play() -> None:
+            await world.begin()
+            jobs = []
+            for number in range(1, 41):
+                job = draw_job(random.Random(number), number) | {"desk": "blue"}
+                if world.can_run(job):
+                    jobs.append(job["id"])
+                    context = world.context(Host(f"10.9.0.{number}"))
+                    loop.create_task(world.user(job, None), context=context)
+            await asyncio.sleep(30)
+            leader = world.leader()
+            assert leader is not None
+            world.freeze_node(leader, 35.0)
+            world.troubled_until = loop.now + 35.0
+            answers: dict[str, list[float]] = {job_id: [] for job_id in jobs}
+            before = world.state.requests
+
+            async def ask(number: int, job_id: str) -> None:
+                clients = [HttpClient(f"10.0.0.{i}:8080", keep=1) for i in (1, 2, 3)]
+                while loop.now < 75:
+                    try:
+                        path = f"/work/{job_id}"
+                        status, _ = await clients[number % 3].request("GET", path, b"", 2.0)
+                        assert status in (200, 503)
+                        if status == 200:
+                            answers[job_id].append(loop.now)
+                    except NoAnswerError:
+                        number += 1  # as the load balancer does
+                    await asyncio.sleep(0.6)
+
+            for number, job_id in enumerate(jobs * 6):
+                context = world.context(Host(f"10.7.0.{number % 250}"))
+                loop.create_task(ask(number, job_id), context=context)
+            await asyncio.sleep(45)
+            assert world.state.refused == 0
+            assert world.state.requests - before < 45 * 200
+            for times in answers.values():
+                gaps = [b - a for a, b in zip([30.0, *times], [*times, 75.0], strict=True)]
+                assert max(gaps) < 6.0
+
+        loop.run_until_complete(play())
+        assert world.broken == []
