--- a/peathall/fleet/planner.py
+++ b/peathall/fleet/planner.py
@@ -81,8 +81,9 @@
         usable = [o for o in offers if suits(o, spec)]
         mine = [b for b in bins if suits(b.offer, spec)]
         if spec.one_zone:
+            beside = [b for b in left if suits(b.offer, spec)]
             home = next(iter(job.running_zones), None) or home_zone(
-                spec, count, mine + left, usable
+                spec, count, mine + beside, usable
             )
             usable = [o for o in usable if o.zone == home]
             mine = [b for b in mine if b.offer.zone == home]
@@ -117,13 +118,15 @@
 
 
 def home_zone(spec: JobSpec, count: int, bins: list[Bin], offers: list[Offer]) -> str | None:
-    """The zone for all tasks: where most find room already, among those with offers."""
+    """The zone for all tasks: where most find room already, among those where all will: room that
+    is too small in a zone that has nothing more to rent would be waited for in vain."""
     zones = list(dict.fromkeys([b.offer.zone for b in bins] + [o.zone for o in offers]))
     if len(zones) < 2:
         return next(iter(zones), None)
 
-    def room(zone: str) -> tuple[int, bool]:
+    def room(zone: str) -> tuple[bool, int, bool]:
         fits = sum(fits_in(b.free, spec) for b in bins if b.offer.zone == zone)
-        return min(fits, count), any(o.zone == zone for o in offers)
+        more = any(o.zone == zone for o in offers)
+        return more or fits >= count, min(fits, count), more
 
     return max(zones, key=room, default=None)
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -137,6 +137,7 @@
             for job in active
             if job.todo
             and now >= job.backoff_until
+            and not self._zone_unknown(job)
             and not (job.trust is Trust.SUSPECT and job.attempts)  # one probe at a time
         ]
         if not jobs:
@@ -202,6 +203,13 @@
                 covered.add(job.spec.id)
         return covered
 
+    def _zone_unknown(self, job: Job) -> bool:
+        """Whether its other tasks decide where the next may go, and one of them is on a machine
+        whose zone is not known: known from records only, neither heard nor listed yet."""
+        if not (job.spec.one_zone or job.spec.spread):
+            return False
+        return any(not self.books.machines[a.machine].zone for a in job.attempts.values())
+
     def _job_view(self, job: Job, wall: float, now: float, covered: set[str]) -> JobView:
         zones: dict[str, int] = {}
         if job.spec.one_zone or job.spec.spread:
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -12,6 +12,7 @@
 from peathall.placement.service import Placement
 from peathall.placement.views import JobView, Plan, Start
 from peathall.settings import CloudSettings, Params, StateSettings, Team
+from peathall.wire.names import MachineType
 from peathall.workers.model import MachinePhase
 from tests.unit.test_planner import spec
 from tests.unit.test_workers import new_workers
@@ -60,6 +61,40 @@
     asyncio.run(run())
 
 
+def test_where_a_job_s_tasks_are_is_known_before_more_of_it_are_placed() -> None:
+    """A new leader knew two tasks of an array to be spread from records only, on a machine that
+    hung while the cloud was down: its zone counted as none, and got all the others as well."""
+
+    async def run() -> None:
+        now = asyncio.get_running_loop().time()
+        workers = new_workers(now)
+        params = Params(
+            workers.settings, StateSettings(9.0, 9.0, 8.0, 9), CloudSettings(4.0, 4.0), [Team("t")]
+        )
+        books = workers.books
+        books.types = {"g": MachineType("g", 8.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a", "b"])}
+        placement = Placement(
+            books,
+            params,
+            SimpleNamespace(),
+            workers,
+            lambda: 0.0,
+            lambda: True,  # type: ignore[arg-type]
+        )
+        job = books.jobs["j-1"] = Job(spec(tasks=4, spread=True), now)
+        hung = books.machine("m-1", "", "", False, MachinePhase.UNHEARD, now)
+        for task in (0, 1):
+            books.book(job, task, 7, hung, "round/1")
+        for name, zone in (("m-2", "a"), ("m-3", "b")):
+            up = books.machine(name, "g", zone, False, MachinePhase.UP, now)
+            up.confirmed, up.last_heard = True, now
+        assert (await placement.decide(now)).starts == []
+        books.machine("m-1", "g", "a", False, MachinePhase.UNHEARD, now)  # listed
+        assert [(x.machine, x.count) for x in (await placement.decide(now)).starts] == [("m-3", 2)]
+
+    asyncio.run(run())
+
+
 def test_among_those_that_have_aged_a_large_gang_need_not_be_the_oldest() -> None:
     """Its machines fall free one by one, while a small one finds its own soon."""
 
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -268,6 +268,17 @@
     assert rented(together, 3, [Bin(OFFERS[2])], []) == {("b", True): 2}
 
 
+def test_rentals_for_jobs_bound_to_one_zone() -> None:
+    """Room left over in a zone where the job may not go, or where it is too small and the cloud
+    has no more, was once taken for the job's zone: nothing was rented, and it waited for ever."""
+    bound = JobView(spec(gang=True, tasks=3, cpus=8.0, one_zone=True, zone="b"), 3)
+    plenty = [Bin(OFFERS[0]) for _ in range(9)]
+    assert rented(bound, 3, [], plenty) == {("b", True): 3}
+    anywhere = JobView(spec(gang=True, tasks=3, cpus=8.0, one_zone=True), 3)
+    only_b = plan_rentals([(anywhere, 3)], [], plenty[:2], OFFERS[2:])
+    assert [(offer.zone, count) for offer, count in only_b] == [("b", 3)]
+
+
 def test_an_aged_gang_goes_first_and_has_its_team_s_limit_kept_for_it() -> None:
     teams = {"t": Team("t", cpus_max=8.0)}
     views = [machine(f"m-{i}", (4.0, 0.0, 8.0)) for i in range(3)]
