--- a/tests/sim/state.py
+++ b/tests/sim/state.py
@@ -29,7 +29,7 @@
         self.refused_until: dict[str, float] = {}  # callers that alone get 503
         self.late = 0.0  # share of commits without an answer that are carried out 2 to 12 s late
         self.lost = 0.0  # share of commits that are carried out at once, their answer lost
-        self.slow = 0.0  # of requests, this share takes up to a second
+        self.slow = 0.0  # share of requests that, and of answers that, take up to a second
         self.lossy = 0.0  # share of commits without an answer; half of them are applied late
 
     @property
@@ -118,6 +118,12 @@
         await asyncio.sleep(self.loop.rng.random() * 0.01)
         if self.loop.rng.random() < self.slow:
             await asyncio.sleep(self.loop.rng.random())
+        response = await self.carry_out(request)
+        if self.loop.rng.random() < self.slow:  # what was done, others may read before the answer
+            await asyncio.sleep(self.loop.rng.random())
+        return response
+
+    async def carry_out(self, request: Request) -> Response:
         path, query = request.path, {k: v[0] for k, v in parse_qs(request.query).items()}
         raw = body.cbor_any(request.body)
         if self.over_limit(len(raw["apply"]) if path == "/commit" else 0):
