The change: smaller limits of the state service from the start, standing services, mixed versions

state.next: the least of both limits holds from the start. Done tasks stand under keys that name their block size, since one key with two sizes would lose tasks between versions; records from a time of larger values are divided before they are written again; a gang's intent is one record if one can hold it, and starts wait for all pieces otherwise; a commit that the store never takes holds up no other. Daemons: never done, all replicas must fit the team's limit, spread over machines, leave machines that are emptied, run again after any end.

--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -151,7 +151,8 @@
             self.set_types(raw)
             # Kept in the store, so that a leader that starts during an outage of
             # the cloud can still judge jobs and place them.
-            self.writer.submit([Put(TYPES, {"builds": raw})])
+            if body.json_size(raw) < self.writer.value_limit:
+                self.writer.submit([Put(TYPES, {"builds": raw})])
         if not known:
             self.on_change()
 
@@ -329,7 +330,10 @@
         return found[: c.MAKE_WAY]
 
     def _nothing_to_do(self) -> bool:
-        return not any(job.phase is JobPhase.ACTIVE for job in self.books.jobs.values())
+        return not any(
+            job.phase is JobPhase.ACTIVE and (job.todo or not job.spec.daemon)
+            for job in self.books.jobs.values()
+        )
 
     def hold_s(self, machine: Machine) -> float:
         """How long an idle machine is kept: as long as renting it anew would cost."""
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -84,6 +84,7 @@
         "backoff_until",
         "began",
         "done",
+        "done_keys",
         "end",
         "failed_on",
         "fails_after",
@@ -108,6 +109,7 @@
         self.idle_since = now  # steady time since which none of its tasks has a place
         self.phase = JobPhase.ACTIVE
         self.done = Ranges()  # reported done, perhaps not stored yet
+        self.done_keys: set[str] = set()  # of the records of done tasks
         self.stored = Ranges()  # those of them that are in the state service
         self.todo = Ranges([(0, spec.tasks)])  # neither done nor attempted
         self.attempts: dict[int, Attempt] = {}
--- a/peathall/jobs/records.py
+++ b/peathall/jobs/records.py
@@ -3,7 +3,8 @@
     live/jobs/T-N  jobs as a leader accepted them: all that waited for one transaction
     live/job/ID    a job as another controller accepted it while no leader answered
     live/ends/T-N  final states, likewise all of one transaction; stored before anyone is told
-    done/ID/B      done tasks of block B as ranges, so that a record stays under the limit
+    done/ID/SxB    done tasks of block B, of S tasks each, as ranges, so that a record stays under
+                   the limit; all records of a job together tell what is done, whatever their S
     past/ID        the final state of an archived job; kept for good
 
 A job is archived (past/ID written and the job taken out of its record, in one commit) once
@@ -34,8 +35,10 @@
     return max(2, int(value_kb * 1024 * c.VALUE_FILL / RANGE_BYTES) * 2)
 
 
-def done_key(job_id: str, block: int) -> str:
-    return f"{DONE}{job_id}/{block}"
+def done_key(job_id: str, block: int, size: int) -> str:
+    # An earlier version writes `done/ID/B`, with blocks as large as values were then. It reads all
+    # that begins with `done/ID/`, as we do: under one key, two sizes would lose tasks.
+    return f"{DONE}{job_id}/{size}x{block}"
 
 
 def done_record(done: Ranges, block: int, size: int) -> dict[str, Any]:
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -24,6 +24,7 @@
 )
 from peathall.store.writer import Change, DeposedError, Gather, Writer
 from peathall.wire import names
+from peathall.wire.body import json_size
 from peathall.wire.names import JobSpec, MachineType, Standing
 
 log = logging.getLogger("peathall.jobs")
@@ -37,7 +38,8 @@
     team = next((t for t in params.teams if t.name == spec.team), None)
     if team is None:
         return "unknown team"
-    many = spec.tasks if spec.gang else 1
+    # Independent tasks can run one after another; those of a gang and replicas run together.
+    many = spec.tasks if spec.gang or spec.daemon else 1
     for need, limit in ((spec.cpus, team.cpus_max), (spec.gpus, team.gpus_max)):
         if limit and need * many > limit + 1e-6:
             return "needs more than its team's limit"
@@ -51,7 +53,8 @@
     if not fitting:
         return "a task fits no allowed machine type"
     zones = {zone for kind in fitting for zone in kind.zones if spec.zone in (None, zone)}
-    if spec.gang and spec.spread and spec.tasks > 1 and (spec.one_zone or len(zones) == 1):
+    together = (spec.gang or spec.daemon) and spec.spread and spec.tasks > 1
+    if together and (spec.one_zone or len(zones) == 1):
         return "all tasks in one zone and at most half of them there"
     return None
 
@@ -83,6 +86,7 @@
         self.homes: dict[str, dict[str, None]] = {}  # record -> its jobs that are not archived
         self.ends_left: dict[str, set[str]] = {}  # record of final states -> the same
         self.archiving: set[str] = set()  # records that are being written without some jobs
+        self.dividing: set[str] = set()  # records that have become too large, see _divide()
         self.twins: dict[str, str] = {}  # job -> a second record that holds it, to be trimmed
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -112,6 +116,7 @@
             if job is None:
                 self.writer.offer_drop(item.key)
                 continue
+            job.done_keys.add(item.key)
             for low, high in item.value["done"]:
                 job.done.add(low, high)
                 job.stored.add(low, high)
@@ -141,11 +146,45 @@
             self.writer.offer(f"twin {twin}", lambda: self._trim(twin))
         return job
 
+    def _divide(self, home: str, here: list[Job]) -> None:
+        """A record from a time of larger values can't be written as it is any more: most of its
+        jobs get records of their own first, and then it is written without them. Until then they
+        stand in two, which harms nobody, whoever leads."""
+        if home in self.dividing:
+            return
+        self.dividing.add(home)
+        limit = self.writer.value_limit - json_size({"jobs": []})
+        sizes = [json_size(names.spec_to_record(job.spec)) + 1 for job in here]
+        # One that no record can hold any more stays where it is until it is over.
+        room = limit - sum(size for size in sizes if size > limit)
+        moving = []
+        for job, size in zip(here, sizes, strict=True):
+            if size <= room:
+                room -= size
+            elif size <= limit:
+                moving.append(job)
+        self._spawn(self._move(home, moving))
+
+    async def _move(self, home: str, jobs: list[Job]) -> None:
+        try:
+            entries = [self.new_jobs.add(names.spec_to_record(job.spec)) for job in jobs]
+            for job, stored in zip(jobs, entries, strict=True):
+                key = await stored
+                del self.homes[home][job.spec.id]
+                job.home = key
+                self.homes.setdefault(key, {})[job.spec.id] = None
+                self.twins[job.spec.id] = home
+            self.writer.offer(f"twin {home}", lambda: self._trim(home))
+        finally:
+            self.dividing.discard(home)
+
     def _trim(self, key: str) -> Change | None:
         """A record without the jobs that have their home elsewhere."""
         if key in self.archiving:
             return None  # written without them anyway; offered again once that is done
         rest = [names.spec_to_record(self.books.jobs[i].spec) for i in self.homes.get(key, ())]
+        if rest and json_size({"jobs": rest}) > self.writer.value_limit:
+            return None  # offered again when one of them is archived
         change = Change({}, [Put(key, {"jobs": rest}) if rest else Drop(key)])
         return change.then(lambda: self._trimmed(key))
 
@@ -316,9 +355,11 @@
             return None
         block = news // self.block
         record = records.done_record(job.done, block, self.block)
-        change = Change({}, [Put(records.done_key(job.spec.id, block), record)])
+        key = records.done_key(job.spec.id, block, self.block)
+        change = Change({}, [Put(key, record)])
 
         def stored() -> None:
+            job.done_keys.add(key)
             for low, high in record["done"]:
                 job.stored.add(low, high)
             if job.done.first_outside(job.stored) is not None:
@@ -362,10 +403,20 @@
         if home in self.archiving:
             return None  # looked after again once that is done
         here = [self.books.jobs[job_id] for job_id in self.homes.get(home, ())]
-        over = [job for job in here if self._can_go(job)][: c.ARCHIVE_AT_ONCE]
+        over: list[Job] = []
+        ops_left = self.params.state.txn_ops - 1  # one is for the record itself
+        for job in filter(self._can_go, here):
+            twin = records.JOB + job.spec.id
+            ops_left -= 1 + (twin in self.writer.versions and twin != home)
+            if ops_left < 0 or len(over) == c.ARCHIVE_AT_ONCE:
+                break
+            over.append(job)
         if not over:
             return None
         rest = [names.spec_to_record(job.spec) for job in here if job not in over]
+        if rest and json_size({"jobs": rest}) > self.writer.value_limit:
+            self._divide(home, here)
+            return None  # looked after again once what is left of the record fits
         ops: list[Put | Drop] = [
             Put(records.PAST + job.spec.id, records.final_record(job.standing, len(job.done)))
             for job in over
@@ -403,10 +454,8 @@
             if not self.ends_left[job.end]:
                 del self.ends_left[job.end]
                 self.writer.offer_drop(job.end)
-            last = (job.spec.tasks - 1) // self.block
-            for key in (records.done_key(job_id, block) for block in range(last + 1)):
-                if key in self.writer.versions:
-                    self.writer.offer_drop(key)
+            for key in job.done_keys:
+                self.writer.offer_drop(key)
         if not self.homes[home]:
             del self.homes[home]
 
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Sequence
+from math import inf
 from zlib import crc32
 
 from peathall import constants as c
@@ -127,7 +128,7 @@
     @staticmethod
     def may_fill(machine: MachineView, spec: JobSpec) -> bool:
         """On a machine that is kept for a gang, only what ends before that can start."""
-        return machine.kept_for is None or (not spec.gang and spec.estimate_s < machine.kept_for)
+        return machine.kept_for is None or (not spec.gang and spec.expected_s < machine.kept_for)
 
     def allowed_groups(self, spec: JobSpec) -> list[Group]:
         return [group for group in self.groups.values() if allowed(group, spec)]
@@ -194,12 +195,19 @@
             return wanted
         cap = (spec.tasks + 1) // 2
         home = next(iter(job.running_zones), None) if spec.one_zone else None
-        for machine in self.candidates(job):
+        found = self.candidates(job)
+        most = [spec.tasks] * len(found)
+        if spec.daemon:
+            # One replica on each machine without any first: a machine's end shall cost one.
+            fresh = [m for m in found if m.name not in job.hosts]
+            most = [1] * len(fresh) + most
+            found = fresh + found
+        for machine, at_most in zip(found, most, strict=True):
             if wanted <= 0:
                 break
             if home is not None and machine.zone != home:
                 continue
-            count = min(machine.fits(spec), wanted)
+            count = min(machine.fits(spec), wanted, at_most)
             if not job.urgent:
                 count = self.sparing(machine, spec, count)
             if spec.spread:
@@ -328,7 +336,7 @@
             options = []
             for machine in self.usable(job, zone):
                 wait, count = free_in(machine, spec)
-                if count:
+                if count and wait < inf:
                     options.append((wait, machine.name, machine, count))
             options.sort(key=lambda x: x[:2])
             chosen, left = [], spec.tasks
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -16,7 +16,7 @@
 from peathall.placement.planner import Round
 from peathall.placement.views import Detail, JobView, MachineView, Plan, Start, Victim
 from peathall.settings import Params
-from peathall.store.client import Item, Put
+from peathall.store.client import Item, Put, StoreError
 from peathall.store.writer import Writer
 from peathall.wire.body import json_size
 from peathall.wire.names import JobSpec
@@ -29,16 +29,24 @@
 
 
 def split_record(entries: list[list[Any]], limit: int) -> list[list[list[Any]]]:
-    """Cut a round's entries into pieces that fit into one value each."""
+    """Cut a round's entries into pieces that fit into one value each, between two jobs where one
+    job's entries fit into a value: the intent of a gang is one step."""
     pieces: list[list[list[Any]]] = [[]]
-    size = 0
-    for entry in entries:
-        need = json_size(entry) + 1
-        if pieces[-1] and size + need > limit:
+    size = json_size({"a": []})
+    empty = size
+    for _, group in groupby(entries, key=lambda entry: entry[0]):
+        job = list(group)
+        sizes = [json_size(entry) + 1 for entry in job]
+        whole = sum(sizes)
+        if pieces[-1] and size + whole > limit and empty + whole <= limit:
             pieces.append([])
-            size = 0
-        pieces[-1].append(entry)
-        size += need
+            size = empty
+        for entry, need in zip(job, sizes, strict=True):
+            if pieces[-1] and size + need > limit:
+                pieces.append([])
+                size = empty
+            pieces[-1].append(entry)
+            size += need
     return [piece for piece in pieces if piece]
 
 
@@ -233,8 +241,9 @@
             latest,
             zones,
             lingering=job.spec.gang and bool(job.attempts),
-            urgent=aged or latest - wall < c.URGENT_S,
+            urgent=aged or job.spec.daemon or latest - wall < c.URGENT_S,
             aged=aged,
+            hosts={a.machine for a in job.attempts.values()} if job.spec.daemon else (),
             avoid=self.workers.blame.avoid(job),
             fetch_s=self._fetch_s(job.spec),
         )
@@ -291,7 +300,7 @@
                 spec.team,
                 job_id in covered,
                 lost,
-                max(1.0, spec.estimate_s - ran),
+                max(1.0, spec.expected_s - ran),
             )
 
     def _preempt(self, job_id: str, task: int, now: float) -> None:
@@ -314,7 +323,7 @@
             spec = attempt.job.spec
             if attempt.leaving:
                 continue
-            rest = max(spec.estimate_s - (now - attempt.since), spec.estimate_s * c.ESTIMATE_FLOOR)
+            rest = max(spec.expected_s - (now - attempt.since), spec.expected_s * c.ESTIMATE_FLOOR)
             if not spec.checkpoint_s and attempt.running and rest < left:
                 continue  # it may well be done before
             self._stop_in_order(attempt, now)
@@ -382,7 +391,7 @@
             machine = self.books.machines[start.machine]
             entries.append(entry)
             fresh.append([self.books.book(job, t, number, machine, "") for t in tasks])
-        limit = int(self.params.state.value_kb * 1024 * c.VALUE_FILL)
+        limit = self.writer.value_limit
         writes = []
         at = 0
         for piece in split_record(entries, limit):
@@ -395,9 +404,22 @@
                 attempt.round = key
             writes.append((self.writer.submit([Put(key, {"a": piece})]), key, attempts))
         self.books.rounds.pop("", None)
-        for write, key, attempts in writes:
-            await write
-            self._stored(key, attempts)
+        waiting: list[tuple[str, list[Attempt]]] = []
+        for at, (write, key, attempts) in enumerate(writes):
+            try:
+                await write
+            except StoreError:  # nothing of it was written, and nothing started
+                for attempt in attempts:
+                    self.books.release(attempt, self.loop.time())
+                continue
+            waiting.append((key, attempts))
+            # A gang that one value can't hold starts once all its pieces stand.
+            last, after = attempts[-1].job, writes[at + 1 : at + 2]
+            if last.spec.gang and after and after[0][2][0].job is last:
+                continue
+            for stored in waiting:
+                self._stored(*stored)
+            waiting.clear()
 
     def _stored(self, key: str, attempts: list[Attempt]) -> None:
         now = self.loop.time()
--- a/peathall/placement/views.py
+++ b/peathall/placement/views.py
@@ -160,6 +160,7 @@
         "avoid",
         "covered",
         "fetch_s",
+        "hosts",
         "latest_start",
         "lingering",
         "probe",
@@ -183,6 +184,7 @@
         fetch_s: float = 0.0,
         aged: bool = False,
         probe: bool = False,
+        hosts: Container[str] = (),
     ) -> None:
         self.spec = spec
         self.todo = todo
@@ -193,6 +195,7 @@
         self.avoid = frozenset(avoid)  # machines on which it failed
         self.urgent = urgent  # an aim is lost unless it starts soon: worth stopping others
         self.aged = aged  # has waited so long that nothing may go before it any more
+        self.hosts = hosts  # machines that have replicas of it already
         self.probe = probe  # of a job that may be mistaken: nobody makes room for it
         self.lingering = lingering  # a gang with attempts that are not gone yet
 
--- a/peathall/settings.py
+++ b/peathall/settings.py
@@ -62,11 +62,30 @@
         return self.lease_s * (1 + 2 * c.DRIFT) + c.LAPSE_MARGIN_S
 
 
+class NextLimits(Struct, frozen=True):
+    """What the state service will allow from some moment on, without notice."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Annotated[int, Meta(ge=4)] | None = None
+
+
 class StateSettings(Struct, frozen=True):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Annotated[int, Meta(ge=4)]
+    next: NextLimits | None = None
+
+    def least(self) -> StateSettings:
+        """What holds now and will hold later: the moment of the change is not told."""
+        if self.next is None:
+            return self
+        told = {k: v for k, v in msgspec.structs.asdict(self.next).items() if v is not None}
+        return msgspec.structs.replace(
+            self, next=None, **{k: min(v, getattr(self, k)) for k, v in told.items()}
+        )
 
 
 class CloudSettings(Struct, frozen=True):
@@ -132,7 +151,9 @@
             f"params.workers.cancel_s: {workers.cancel_s:g} must be more than {workers.lapse_s:g},"
             f" the longest that a machine cut off keeps its tasks (lease_s {workers.lease_s:g})"
         )
-    return settings
+    state = settings.params.state.least()
+    params = msgspec.structs.replace(settings.params, state=state)
+    return msgspec.structs.replace(settings, params=params)
 
 
 def load(path: str | os.PathLike[str]) -> Settings:
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -24,6 +24,10 @@
     """No answer: it may have been carried out, or still be carried out later."""
 
 
+class InvalidError(StoreError):
+    """The service will never carry it out as it is: too large, perhaps."""
+
+
 class ConflictError(Exception):
     """A condition did not hold; `failed` names the keys."""
 
@@ -200,6 +204,8 @@
             raise ConflictError(list(raw["failed"]))
         if status == 400 and "lease" in str((raw or {}).get("error", "")):
             raise LeaseGoneError
+        if status == 400:
+            raise InvalidError(f"commit: {status} {raw}")
         raise StoreError(f"commit: {status} {raw}")
 
     async def lease(self, ttl_s: float) -> int:
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -23,6 +23,7 @@
 from peathall.store.client import (
     ConflictError,
     Drop,
+    InvalidError,
     LeaseGoneError,
     Put,
     StateClient,
@@ -87,6 +88,7 @@
     ) -> None:
         self.store = store
         self.limits = limits
+        self.value_limit = int(limits.value_kb * 1024 * c.VALUE_FILL)  # bytes of a value
         self.lead = lead
         self.may_act = may_act
         self.on_deposed = on_deposed
@@ -249,6 +251,15 @@
                 doubt = True
                 self._enter(WriterPhase.IN_DOUBT)
                 await asyncio.sleep(c.STORE_RETRY_S)
+            except InvalidError as exc:
+                # Larger than is allowed, or more at once: repeating it would hold up all others
+                # for ever. Whichever of them it is, the others go on without it.
+                log.error("the state service does not take a commit: %s", exc)
+                if len(batch) == 1:
+                    self._settle(batch, exc)
+                for change in batch if len(batch) > 1 else ():
+                    await self._commit([change])
+                return
             except (StoreError, LeaseGoneError) as exc:
                 if not refused:
                     log.info("commit refused, repeating it: %s", exc)
@@ -364,7 +375,7 @@
         self.writer = writer
         self.stem = f"{prefix}{term:08d}-"
         self.field = field
-        self.limit = int(writer.limits.value_kb * 1024 * c.VALUE_FILL)
+        self.limit = writer.value_limit
         # Conditions of a transaction are limited too; a quarter is left for other changes.
         self.checks = 3 * writer.limits.txn_ops
         self.number = 0
--- a/peathall/wire/names.py
+++ b/peathall/wire/names.py
@@ -68,8 +68,6 @@
     id: JobId
     docket: Text
     desk: Text
-    # `daemon` is not in the protocol's text, but its users send it: tasks that run until
-    # their user withdraws the job. They are placed like independent ones.
     shape: Literal["sweep", "ensemble", "daemon"]
     precedence: Literal["critical", "high", "standard", "idle"]
     parcels: Annotated[int, Meta(ge=1, le=100_000)]
@@ -113,6 +111,12 @@
     save_s: float
     deadline_s: float | None
     submitted: float  # time of day at which it was accepted
+    daemon: bool = False  # its tasks, replicas, run until the job is cancelled
+
+    @property
+    def expected_s(self) -> float:
+        """How long a task should run, by its owner."""
+        return math.inf if self.daemon else self.estimate_s
 
 
 def job_from_wire(raw: dict[str, Any], submitted: float) -> JobSpec:
@@ -154,6 +158,7 @@
         save_s=job.stow_s,
         deadline_s=job.due_s,
         submitted=submitted,
+        daemon=job.shape == "daemon",
     )
 
 
--- a/peathall/workers/caches.py
+++ b/peathall/workers/caches.py
@@ -25,7 +25,7 @@
     def __init__(self, books: Books, writer: Writer) -> None:
         self.books = books
         self.writer = writer
-        self.limit = int(writer.limits.value_kb * 1024 * c.VALUE_FILL)
+        self.limit = writer.value_limit
         self.loaded: dict[str, list[tuple[str, float]]] = {}
         self.members: dict[str, dict[str, None]] = {}  # record -> machines in it
 
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -273,7 +273,8 @@
         now: float,
     ) -> Exits:
         job = self.books.jobs.get(item.job)
-        done = item.why is Why.DONE
+        # A replica is never done, whatever is reported: it has ended, and runs again.
+        done = item.why is Why.DONE and not (job is not None and job.spec.daemon)
         # Late copies of an earlier term's starts are fenced by this term's base already.
         direct_token = 0
         if attempt is not None:
@@ -314,7 +315,7 @@
                 machine.name,
                 item.why.value if item.why else "?",
             )
-        if item.why is Why.ERROR:
+        if item.why is Why.ERROR or (item.why is Why.DONE and job.spec.daemon):
             self._empty_sick(self.blame.failed(attempt, ran_s, now))
         elif item.why in (Why.NO_ROOM, Why.BUSY, Why.UNKNOWN):
             # Our books and the worker's differ: wait a little, its next report tells.
@@ -330,6 +331,10 @@
         if machine.enter(MachinePhase.DRAINING):
             machine.why_draining = why
             log.info("machine %s is emptied: %s", machine.name, why)
+            now = self.loop.time()
+            for attempt in list(machine.attempts.values()):
+                if attempt.job.spec.daemon:  # it would never end by itself
+                    self.stop(attempt, 0.0, now)
             self.on_change()
 
     def _absent(self, machine: Machine, attempt: Attempt, seen_token: int, now: float) -> None:
--- a/peathall/workers/suspects.py
+++ b/peathall/workers/suspects.py
@@ -41,4 +41,5 @@
             for job in self.blame.watched.values()
             if job.trust is Trust.SUSPECT and self.books.jobs.get(job.spec.id) is job
         ]
-        return Change({}, [Put(SUSPECTS, {"jobs": found[-c.SUSPECTS_KEPT :]})])
+        most = min(c.SUSPECTS_KEPT, self.writer.value_limit // c.SUSPECT_BYTES)
+        return Change({}, [Put(SUSPECTS, {"jobs": found[-most:]})])
--- /dev/null
+++ b/tests/sim/production.py
@@ -0,0 +1,64 @@
+"""The version in production, taken from the repository's history, under a name of its own."""
+
+from __future__ import annotations
+
+import importlib
+import io
+import subprocess
+import sys
+import tarfile
+import tempfile
+import tomllib
+from functools import cache
+from pathlib import Path
+from typing import Any
+from zlib import crc32
+
+import pytest
+
+ROOT = Path(__file__).resolve().parents[2]
+NAME = "peathall_production"
+
+
+@cache
+def unpack(commit: str, change: tuple[str, str] | None = None) -> str:
+    """The name under which the package of that commit can be imported, its words replaced where
+    `change` says so, to see that a difference is noticed."""
+    archive = subprocess.run(
+        ["git", "-C", str(ROOT), "archive", commit, "peathall"], capture_output=True, check=False
+    )
+    if archive.returncode:
+        pytest.fail(f"the history has no commit {commit}, the version in production: fetch it all")
+    name = NAME if change is None else f"{NAME}_{crc32(change[1].encode()):x}"
+    folder = Path(tempfile.mkdtemp(prefix="peathall-"))
+    with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as tar:
+        tar.extractall(folder, filter="data")
+    (folder / "peathall").rename(folder / name)
+    found = 0
+    for path in (folder / name).rglob("*.py"):
+        text = path.read_text()
+        if change is not None:
+            found += text.count(change[0])
+            text = text.replace(*change)
+        text = text.replace("from peathall", f"from {name}").replace(
+            "import peathall", f"import {name}"
+        )
+        path.write_text(text)
+    assert change is None or found, f"{change[0]!r} is not in the version in production"
+    sys.path.insert(0, str(folder))
+    return name
+
+
+def recorded() -> str:
+    commit = tomllib.loads((ROOT / "deploy" / "service.toml").read_text()).get("production")
+    if not commit:
+        pytest.fail("deploy/service.toml names no version in production")
+    return str(commit)
+
+
+def node(text: str, wall: Any, rng: Any, change: tuple[str, str] | None = None) -> Any:
+    """A controller of the version in production, with the settings of `text`."""
+    name = unpack(recorded(), change)
+    settings = importlib.import_module(f"{name}.settings")
+    made = importlib.import_module(f"{name}.node")
+    return made.Node(settings.parse(text), settings.Operator(), wall, rng)
--- a/tests/sim/state.py
+++ b/tests/sim/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -22,6 +23,8 @@
         self.next_lease = 0
         self.down_until = -1.0
         self.copies = 0.0  # share of requests of which a late copy is carried out once more
+        self.value_kb, self.txn_ops = 8.0, 12
+        self.on_invalid: Callable[[str], None] = lambda what: None
         self.limits: tuple[float, float] = (1e9, 1e9)  # requests and changes a second
         self.spent = [0.0, 0.0]
         self.spent_at = 0.0
@@ -75,14 +78,16 @@
         ]
         if failed:
             return body.cbor_response(409, {"failed": failed, "epoch": self.revision})
-        assert len(raw["apply"]) <= 12, "too many operations"
+        size = max([body.json_size(op["data"]) for op in raw["apply"] if "write" in op], default=0)
+        if len(raw["apply"]) > self.txn_ops or size > self.value_kb * 1024:
+            self.on_invalid(f"{len(raw['apply'])} changes, a value of {size} bytes: {raw}")
+            return body.cbor_response(400, {"error": "too large"})
         for op in raw["apply"]:
             if op.get("tenancy") is not None and op["tenancy"] not in self.leases:
                 return body.cbor_response(400, {"error": "no such lease"})
         self.revision += 1
         for op in raw["apply"]:
             if "write" in op:
-                assert body.json_size(op["data"]) <= 8 * 1024, "value too large"
                 self.data[op["write"]] = (op["data"], self.revision, op.get("tenancy"))
                 self.note(op["write"], op["data"], False)
             else:
--- /dev/null
+++ b/tests/sim/test_upgrade.py
@@ -0,0 +1,162 @@
+"""Whole days on which controllers of the version in production are replaced one by one, and then
+the state service lowers its limits: the rules hold, whoever leads meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import Any
+
+import pytest
+
+from peathall import settings
+from tests.sim import production
+from tests.sim.net import Host
+from tests.sim.test_days import NODE, draw_job, users, virtual
+from tests.sim.test_meetings import Stage, longer, watch
+from tests.sim.world import World
+
+NEXT = "txn_ops = 12\n[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 30.0\n"
+
+
+def text(i: int) -> str:
+    peers = "".join(
+        f'[[known]]\nmember = "hall-{k}"\nlocation = "a"\nendpoint = "10.0.0.{k + 1}:8081"\n'
+        for k in range(3)
+        if k != i
+    )
+    plain = NODE.format(i=i, n=i + 1, zone="ab"[i % 2], peers=peers)
+    return plain.replace("txn_ops = 12\n", NEXT)
+
+
+def mixed_world(loop: Any, seed: int, change: tuple[str, str] | None = None) -> World:
+    """All three controllers are of the version in production."""
+    world = World(loop, seed, [settings.parse(text(i)) for i in range(3)])
+    world.state.limits = (200.0, 60.0)
+    for i in range(3):
+        world.make[i] = lambda wall, rng, i=i: production.node(text(i), wall, rng, change)
+    return world
+
+
+async def upgrade(world: World, index: int, back_s: float) -> None:
+    """Killed, it comes back with the new version; before its turn it comes back old."""
+    while not world.nodes[index][0].alive:
+        await asyncio.sleep(0.1)
+    world.make.pop(index, None)
+    world.troubled_until = max(world.troubled_until, world.loop.now + back_s + 35.0)
+    world.crash_node(index, back_s)
+
+
+def daemon(rng: random.Random, number: int) -> dict[str, Any]:
+    return draw_job(rng, number) | {
+        "id": f"j-{number:06d}", "docket": "web", "desk": "blue", "shape": "daemon",
+        "precedence": "critical", "parcels": rng.choice([1, 2, 3]), "vcpus": 0.5, "cards": 0.0,
+        "ram_gb": 1.0, "builds": None, "ward": None, "together": False,
+        "scatter": rng.random() < 0.5, "standby": True, "image_gb": 1.0,
+        "reckon_s": 0.0, "tally_s": 0.0, "run_s": 0.0,
+    }  # fmt: skip
+
+
+def lower_limits(world: World) -> None:
+    world.state.value_kb, world.state.txn_ops, world.state.limits = 2.0, 4, (200.0, 30.0)
+
+
+async def rollout(world: World, order: list[int], leading: str) -> None:
+    await world.begin()
+    rng = world.rng
+    stage = Stage(world)
+    arriving = asyncio.create_task(users(world, 70.0, longer))
+    watching = asyncio.create_task(watch(world))
+    await asyncio.sleep(12.0)
+    if leading != "in order":  # whoever leads is replaced first, or last
+        order = sorted(order, key=lambda i: (i == stage.leader) == (leading == "last"))
+    for index in order:
+        stage.cancel_now(2)
+        await upgrade(world, index, rng.choice([0.2, 3.0]))
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        trouble = rng.choice(["crash", "crash", "refuse", "writes", "cut", "outage", "none"])
+        if trouble == "crash":  # leadership passes on, perhaps back to the other version
+            stage.crash(stage.leader, rng.choice([0.1, 3.0]))
+        elif trouble == "refuse":
+            stage.refuse_leader(6.0)
+        elif trouble == "writes":
+            stage.writes(6.0, late=0.3, lost=0.3)
+        elif trouble == "cut":
+            stage.cut_workers(0.4, 8.0)
+        elif trouble == "outage":
+            stage.outage(5.0)
+        await asyncio.sleep(rng.uniform(4.0, 9.0))
+    while not all(host.alive for host, _ in world.nodes.values()):
+        await asyncio.sleep(0.1)
+    # From here on all are new.
+    services = []
+    for number in range(800, 806):
+        job = daemon(rng, number)
+        context = world.context(Host(f"10.9.3.{number - 799}"))
+        services.append(world.loop.create_task(world.user(job, 100.0), context=context))
+    await asyncio.sleep(rng.uniform(0.0, 6.0))
+    lower_limits(world)
+    await asyncio.sleep(rng.uniform(0.0, 6.0))
+    stage.crash(stage.leader, 0.3)
+    for worker in stage.some_workers(0.3):
+        worker.die()
+    await asyncio.sleep(55.0)
+    for number in range(800, 806):
+        job = world.jobs[f"j-{number:06d}"]
+        up = [t for n, ts in world.here.items() if n.startswith(job["id"]) for t in ts]
+        assert len(up) == job["parcels"], (job["id"], up)
+        assert world.told[job["id"]] == "running"
+    waiting = [*await arriving, *services]
+    deadline = max(world.loop.now, world.troubled_until) + 300.0
+    while world.loop.now < deadline and not all(task.done() for task in waiting):
+        await asyncio.sleep(1.0)
+    watching.cancel()
+    assert all(task.done() for task in waiting)
+    for task in waiting:
+        await task
+
+
+@pytest.mark.parametrize(
+    ("seed", "order", "leading"),
+    [
+        (71, [0, 1, 2], "in order"),
+        (72, [2, 1, 0], "in order"),
+        (73, [0, 1, 2], "first"),
+        (74, [1, 0, 2], "last"),
+        (75, [1, 2, 0], "in order"),
+        (76, [0, 2, 1], "first"),
+        (77, [2, 0, 1], "last"),
+        (78, [1, 0, 2], "in order"),
+    ],
+)
+def test_the_rules_hold_while_versions_change(seed: int, order: list[int], leading: str) -> None:
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual(seed) as loop:
+        world = mixed_world(loop, seed)
+        loop.run_until_complete(rollout(world, order, leading))
+        assert world.broken == []
+        assert world.cancelled
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        ('PAST = "past/"', 'PAST = "gone/"'),  # archived jobs that the other version does not find
+        ('JOBS = "live/jobs/"', 'JOBS = "live/works/"'),  # accepted jobs, likewise
+    ],
+)
+def test_a_record_that_the_other_version_does_not_know_is_noticed(change: tuple[str, str]) -> None:
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    found = []
+    for seed, leading in ((71, "in order"), (73, "first"), (77, "last")):
+        with virtual(seed) as loop:
+            world = mixed_world(loop, seed, change)
+            try:
+                loop.run_until_complete(rollout(world, [0, 1, 2], leading))
+            except AssertionError as exc:
+                found.append(str(exc))
+            found += world.broken
+        if found:
+            break
+    assert found
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any
 
 import cbor2
@@ -186,6 +187,9 @@
         if task.timer is not None:
             task.timer.cancel()
         task.state, task.since = "running", self.loop.now
+        if task.job["shape"] == "daemon":
+            self.kick.set()
+            return
         self.later(task, task.job["run_s"], self.complete)
         self.kick.set()
 
@@ -235,6 +239,8 @@
         self.state = State(loop)
         store = settings[0].params.state
         self.state.limits = (store.rps, store.write_rps)
+        self.state.on_invalid = lambda what: self.breaks("limits", what[:200])
+        self.make: dict[int, Callable[[Callable[[], float], random.Random], Any]] = {}
         self.workers: dict[str, Worker] = {}
         self.names = 0
         self.hires: dict[str, list[str]] = {}
@@ -458,10 +464,9 @@
         host = Host(f"10.0.0.{index + 1}")
         # Times of day differ, as they do on real machines.
         off = self.rng.uniform(-0.5, 0.5)
-        node = Node(
-            self.settings[index], Operator(), lambda: self.loop.now + 1e6 + off,
-            random.Random(self.rng.random()),
-        )  # fmt: skip
+        wall, rng = lambda: self.loop.now + 1e6 + off, random.Random(self.rng.random())
+        other = self.make.get(index)  # another version of the program
+        node = other(wall, rng) if other else Node(self.settings[index], Operator(), wall, rng)
         self.nodes[index] = (host, node)
         self.context(host).run(self.loop.create_task, node.run())
 
--- a/tests/unit/test_blame.py
+++ b/tests/unit/test_blame.py
@@ -18,7 +18,7 @@
 from peathall.workers.model import MachinePhase
 from peathall.workers.suspects import Suspects
 from tests.unit.test_planner import spec
-from tests.unit.test_store import lead
+from tests.unit.test_store import LIMITS, lead
 
 
 class Floor:
@@ -187,7 +187,7 @@
         floor.mistaken.add("j-1")
         job = floor.job(1, 50)
         nothing: Any = SimpleNamespace(limits=None)
-        suspects = Suspects(floor.books, floor.blame, Writer(nothing, nothing, lead(), bool, bool))
+        suspects = Suspects(floor.books, floor.blame, Writer(nothing, LIMITS, lead(), bool, bool))
         floor.start(job, ["m-0", "m-1", "m-2"], 0.0)
         (make,) = suspects.writer.spare.values()
         change = make()
@@ -197,7 +197,7 @@
         later = Floor(4)
         later.mistaken.add("j-1")
         again = later.job(1, 50)
-        writer = Writer(nothing, nothing, lead(2), bool, bool)
+        writer = Writer(nothing, LIMITS, lead(2), bool, bool)
         Suspects(later.books, later.blame, writer).load(Item(put.key, put.value, 5))
         assert again.trust is Trust.SUSPECT
         later.start(again, ["m-3"], 10.0)
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -5,13 +5,17 @@
 import asyncio
 from typing import Any
 
+import msgspec
+
 from peathall.books import Books
 from peathall.jobs import records
 from peathall.jobs.model import JobPhase
-from peathall.jobs.service import Jobs
-from peathall.settings import CloudSettings, Params, Team, WorkerSettings
+from peathall.jobs.service import Jobs, can_never_run
+from peathall.settings import CloudSettings, Params, StateSettings, Team, WorkerSettings
+from peathall.store.client import Put
 from peathall.store.writer import LeadRecord, Writer
 from peathall.wire import names
+from peathall.wire.body import json_size
 from peathall.wire.names import MachineType
 from tests.unit.test_planner import spec
 from tests.unit.test_store import LIMITS, FakeStore
@@ -22,14 +26,15 @@
 )
 
 
-def leader(store: FakeStore, term: int) -> Jobs:
+def leader(store: FakeStore, term: int, limits: StateSettings = LIMITS) -> Jobs:
     client: Any = store
     store.write("lead", {"term": term})
     books = Books(term, 0)
     books.types = {"g": KIND}
     shown = LeadRecord("lead", {"term": term}, store.revision, None)
-    writer = Writer(client, LIMITS, shown, lambda: True, lambda: None)
-    return Jobs(books, PARAMS, client, writer, lambda: None, lambda job: None, lambda: 0.0)
+    writer = Writer(client, limits, shown, lambda: True, lambda: None)
+    params = msgspec.structs.replace(PARAMS, state=limits)
+    return Jobs(books, params, client, writer, lambda: None, lambda job: None, lambda: 0.0)
 
 
 async def rebuilt(store: FakeStore, term: int) -> Jobs:
@@ -199,3 +204,58 @@
         await writing
 
     asyncio.run(run())
+
+
+def test_a_record_of_larger_values_is_divided_before_it_is_written_again() -> None:
+    """It holds more than a value may have by now. New records stand before it is written without
+    their jobs, no job is ever in none, and each write fits."""
+
+    class Small(FakeStore):
+        def apply(self, conditions: dict[str, int], ops: list[Any]) -> int:
+            assert len(ops) <= 4
+            assert all(json_size(op.value) <= 2048 for op in ops if isinstance(op, Put))
+            revision = super().apply(conditions, ops)
+            held = [
+                r["id"]
+                for k, (v, _) in self.data.items()
+                if k[:9] == "live/jobs"
+                for r in v["jobs"]
+            ]
+            past = [k[5:] for k in self.data if k.startswith("past/")]
+            assert {f"j-{n}" for n in range(20)} == set(held) | set(past)
+            return revision
+
+    async def run() -> None:
+        store = Small()
+        large = [names.spec_to_record(spec(id=f"j-{n}", team="t")) for n in range(20)]
+        store.write("live/jobs/1-1", {"jobs": large})
+        jobs = leader(store, 2, StateSettings(100.0, 50.0, 2.0, 4))
+        live, revision = await store.scan(records.LIVE)
+        jobs.load(live, [], revision)
+        writing = asyncio.create_task(jobs.writer.run())
+        ends(jobs, "j-3", "j-15")
+        for _ in range(6):
+            await settle(jobs)
+            await look_after(jobs)
+        assert {"past/j-3", "past/j-15"} <= store.data.keys()
+        assert not jobs.twins
+        left = [
+            r["id"] for k, (v, _) in store.data.items() if k[:9] == "live/jobs" for r in v["jobs"]
+        ]
+        assert sorted(left) == sorted(f"j-{n}" for n in range(20) if n not in (3, 15))
+        jobs.writer.stop()
+        await writing
+
+    asyncio.run(run())
+
+
+def test_replicas_run_together_so_all_of_them_must_fit() -> None:
+    types = {"g": KIND}
+    team = Team("t", cpus_max=8.0)
+    params = Params(PARAMS.workers, LIMITS, PARAMS.cloud, [team])
+    array, replicas = spec(tasks=9), spec(tasks=9, daemon=True, estimate_s=0.0)
+    assert can_never_run(array, types, params) is None
+    assert can_never_run(replicas, types, params) == "needs more than its team's limit"
+    assert can_never_run(spec(tasks=8, daemon=True), types, params) is None
+    spread = spec(tasks=2, daemon=True, spread=True)
+    assert can_never_run(spread, types, params) is not None  # in the only zone there is
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -30,7 +30,7 @@
         )
         stored: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         stored.set_result(1)
-        writer: Any = SimpleNamespace(versions={}, submit=lambda ops: stored)
+        writer: Any = SimpleNamespace(versions={}, submit=lambda ops: stored, value_limit=1000)
         placement = Placement(workers.books, params, writer, workers, lambda: 0.0, lambda: True)
         machine = workers.books.machine("m-1", "g", "a", False, MachinePhase.UP, now)
         machine.confirmed = True
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -306,3 +306,19 @@
         for _ in current.run([job]):
             pass
         assert sum(start.count for start in current.plan.starts) == started
+
+
+def test_replicas_of_a_job_go_to_different_machines_while_there_are_any() -> None:
+    """And count on no end of theirs: a machine is not kept for a gang until one goes."""
+    views = [machine(f"m-{i}", (4.0, 0.0, 8.0)) for i in range(3)]
+    replicas = spec(tasks=4, daemon=True, estimate_s=0.0, priority=0)
+    plan = make_plan([JobView(replicas, 4)], views, TEAMS, {})
+    assert sorted(start.count for start in plan.starts) == [1, 1, 1, 1]
+    assert len({start.machine for start in plan.starts}) == 3
+    views = [machine(f"m-{i}", (4.0, 0.0, 8.0)) for i in range(3)]
+    plan = make_plan([JobView(replicas, 1, hosts={"m-0", "m-1"})], views, TEAMS, {})
+    assert [start.machine for start in plan.starts] == ["m-2"]
+    kept = machine("m-0", (4.0, 0.0, 8.0))
+    kept.kept_for = 50.0
+    assert not Round.may_fill(kept, replicas)
+    assert Round.may_fill(kept, spec(estimate_s=10.0))
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -105,3 +105,15 @@
     with pytest.raises(settings.SettingsError, match=r"cancel_s: 23 must be more than 23\.022"):
         settings.parse(wrong)
     settings.parse(TEXT.replace("cancel_s = 42.0", "cancel_s = 23.1"))
+
+
+def test_the_least_of_the_limits_now_and_next_holds_from_the_start() -> None:
+    """They fall without notice: a value or a transaction that is too large then is refused."""
+    more = TEXT.replace("txn_ops = 16\n", "txn_ops = 16\n[params.state.next]\nvalue_kb = 2.0\n")
+    state = settings.parse(more).params.state
+    assert (state.value_kb, state.txn_ops, state.write_rps) == (2.0, 16, 50.0)
+    both = more.replace("value_kb = 2.0\n", "value_kb = 99.0\ntxn_ops = 4\nwrite_rps = 15.0\n")
+    state = settings.parse(both).params.state
+    assert (state.value_kb, state.txn_ops, state.write_rps) == (16.0, 4, 15.0)
+    with pytest.raises(settings.SettingsError, match=r"next\.txn_ops"):
+        settings.parse(both.replace("txn_ops = 4\n", "txn_ops = 0\n"))
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -9,13 +9,20 @@
 
 from peathall.jobs.fallback import Fallback
 from peathall.jobs.ranges import Ranges
-from peathall.jobs.records import block_tasks, done_record
+from peathall.jobs.records import DONE, block_tasks, done_key, done_record
 from peathall.leadership.lease import LeadLease, first_attempt, token
 from peathall.placement.service import split_record
 from peathall.settings import StateSettings
 from peathall.store.budget import Budget
 from peathall.store.client import Change as StoreChange
-from peathall.store.client import ConflictError, Item, Put, StateClient, StoreDoubtError
+from peathall.store.client import (
+    ConflictError,
+    InvalidError,
+    Item,
+    Put,
+    StateClient,
+    StoreDoubtError,
+)
 from peathall.store.writer import Change, DeposedError, Gather, LeadRecord, Writer
 from peathall.wire.body import json_size
 
@@ -233,6 +240,43 @@
     assert all(json_size(piece) <= 2100 for piece in pieces)
 
 
+def test_the_intent_of_a_gang_is_in_one_record_if_one_can_hold_it() -> None:
+    entries: list[list[Any]] = [
+        [f"j-{job}", 4294967296 + job, f"m-{n:06d}", [[n, n + 1]]]
+        for job in range(9)
+        for n in range(8)
+    ]
+    for limit, whole in ((600, True), (200, False)):
+        pieces = split_record(entries, limit)
+        assert [e for piece in pieces for e in piece] == entries
+        assert all(json_size({"a": piece}) <= limit for piece in pieces)
+        held = [{e[0] for e in piece} for piece in pieces]
+        split = sum(len([1 for jobs in held if f"j-{job}" in jobs]) > 1 for job in range(9))
+        assert (split == 0) is whole
+
+
+def test_a_commit_that_the_store_will_never_take_holds_up_no_other() -> None:
+    """Limits may fall further than was told: repeating what is too large would block all others."""
+
+    class Strict(FakeStore):
+        async def commit(self, conditions: dict[str, int], ops: list[Any]) -> int:
+            if any(isinstance(op, Put) and op.key == "large" for op in ops):
+                raise InvalidError("commit: 400")
+            return await super().commit(conditions, ops)
+
+    store = Strict()
+    results = play(store, [Put("a", 1), Put("large", 2), Put("b", 3)])
+    assert isinstance(results.pop(1), InvalidError)
+    assert results == [store.data["a"][1], store.data["b"][1]]
+
+
+def test_done_tasks_are_known_from_blocks_of_any_size() -> None:
+    """Two versions, or two limits: each writes blocks of its own size under keys of its own."""
+    assert len({done_key("j-1", 0, 216), done_key("j-1", 0, 1740), "done/j-1/0"}) == 3
+    for key in (done_key("j-1", 3, 216), "done/j-1/3"):  # as the version before takes it apart
+        assert key.removeprefix(DONE).rpartition("/")[0] == "j-1"
+
+
 def test_what_may_wait_is_written_once_in_its_latest_state_and_never_first() -> None:
     store = FakeStore()
     store.spare = 0.0
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -11,7 +11,7 @@
 from peathall import constants as c
 from peathall.books import Books
 from peathall.fleet.service import Fleet
-from peathall.jobs.model import Attempt, AttemptPhase, Job
+from peathall.jobs.model import Attempt, AttemptPhase, Job, JobPhase
 from peathall.leadership.lease import first_attempt, token
 from peathall.peers.service import Peers
 from peathall.placement.views import MachineView
@@ -20,7 +20,7 @@
 from peathall.store.writer import Writer
 from peathall.wire.body import json_size
 from peathall.wire.http import Request
-from peathall.wire.names import MachineType, Report, TaskReport, TaskState, report_from_wire
+from peathall.wire.names import MachineType, Report, TaskReport, TaskState, Why, report_from_wire
 from peathall.workers.caches import Caches
 from peathall.workers.model import Machine, MachinePhase
 from peathall.workers.service import Workers
@@ -317,3 +317,26 @@
         assert workers.in_reports(machine) == c.MACHINE_TASKS + 50
 
     asyncio.run(run())
+
+
+def test_a_replica_is_never_done_and_runs_again() -> None:
+    """Whatever a report says of its end; and it leaves a machine that is to be emptied, which it
+    would never do by itself."""
+
+    def test(workers: Workers) -> None:
+        now = workers.loop.time()
+        machine = known(workers)
+        job = workers.books.jobs["j-1"] = Job(spec(tasks=2, daemon=True), now)
+        first, second = (
+            workers.books.book(job, task, workers.base + 1, machine, "round/1") for task in (0, 1)
+        )
+        for attempt in (first, second):
+            attempt.enter(AttemptPhase.RUNNING, now)
+        ended = TaskReport("j-1", 0, workers.base + 1, TaskState.EXITED, Why.DONE, False)
+        told = workers._exited(machine, ended, first, None, now)
+        assert (len(job.done), job.phase, told.done) == (0, JobPhase.ACTIVE, False)
+        assert list(job.todo) == [0] and list(job.attempts) == [1]
+        workers.drain(machine, "sick")
+        assert second.stopping
+
+    play(test)
