A job is not archived while its record is being divided

By reading: one whose copy in a new record is about to be written could have been archived before, and the copy would bring it back to life after a take-over. The test looks after the jobs at every step, but was not seen to fail without the guard: the copies are written before anything that may wait.

--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -394,9 +394,10 @@
             self.writer.offer(job.home, lambda: self._archive_change(job.home))
 
     def _can_go(self, job: Job) -> bool:
-        """Whether it may be archived: while a second record holds it, a new leader that reads
-        that one would bring it back to life."""
-        return job.over and not job.attempts and not job.writing and job.spec.id not in self.twins
+        """Whether it may be archived: while a second record holds it, or is about to, a new leader
+        that reads that one would bring it back to life."""
+        alone = job.spec.id not in self.twins and job.home not in self.dividing
+        return job.over and not job.attempts and not job.writing and alone
 
     def _archive_change(self, home: str) -> Change | None:
         """Some of a record's jobs that are over, and the record without them."""
--- a/tests/unit/test_jobs.py
+++ b/tests/unit/test_jobs.py
@@ -223,6 +223,7 @@
             ]
             past = [k[5:] for k in self.data if k.startswith("past/")]
             assert {f"j-{n}" for n in range(20)} == set(held) | set(past)
+            assert not set(held) & set(past)  # one that has ended would come back to life
             return revision
 
     async def run() -> None:
@@ -233,16 +234,19 @@
         live, revision = await store.scan(records.LIVE)
         jobs.load(live, [], revision)
         writing = asyncio.create_task(jobs.writer.run())
-        ends(jobs, "j-3", "j-15")
-        for _ in range(6):
-            await settle(jobs)
-            await look_after(jobs)
-        assert {"past/j-3", "past/j-15"} <= store.data.keys()
+        over = [f"j-{n}" for n in range(3, 18)]
+        ends(jobs, *over)
+        for _ in range(400):  # looked after at every step of what is written
+            for job in list(jobs.books.jobs.values()):
+                jobs.look_after(job)
+            await asyncio.sleep(0)
+        await settle(jobs)
+        assert {f"past/{job_id}" for job_id in over} <= store.data.keys()
         assert not jobs.twins
         left = [
             r["id"] for k, (v, _) in store.data.items() if k[:9] == "live/jobs" for r in v["jobs"]
         ]
-        assert sorted(left) == sorted(f"j-{n}" for n in range(20) if n not in (3, 15))
+        assert sorted(left) == sorted({f"j-{n}" for n in range(20)} - set(over))
         jobs.writer.stop()
         await writing
 
