--- a/tests/sim/production.py
+++ b/tests/sim/production.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import atexit
 import importlib
 import io
+import shutil
 import subprocess
 import sys
 import tarfile
@@ -31,6 +33,7 @@
         pytest.fail(f"the history has no commit {commit}, the version in production: fetch it all")
     name = NAME if change is None else f"{NAME}_{crc32(change[1].encode()):x}"
     folder = Path(tempfile.mkdtemp(prefix="peathall-"))
+    atexit.register(shutil.rmtree, folder, ignore_errors=True)
     with tarfile.open(fileobj=io.BytesIO(archive.stdout)) as tar:
         tar.extractall(folder, filter="data")
     (folder / "peathall").rename(folder / name)
--- a/tests/sim/test_meetings.py
+++ b/tests/sim/test_meetings.py
@@ -409,6 +409,43 @@
     world.copies = world.state.copies = 0.0
 
 
+def daemon(rng: random.Random, number: int) -> dict[str, Any]:
+    return draw_job(rng, number) | {
+        "id": f"j-{number:06d}", "docket": "web", "desk": "blue", "shape": "daemon",
+        "precedence": "critical", "parcels": rng.choice([1, 2, 3]), "vcpus": 0.5, "cards": 0.0,
+        "ram_gb": 1.0, "builds": None, "ward": None, "together": False,
+        "scatter": rng.random() < 0.5, "standby": True, "image_gb": 1.0,
+        "reckon_s": 0.0, "tally_s": 0.0, "run_s": 0.0,
+    }  # fmt: skip
+
+
+async def services_amid_troubles(stage: Stage) -> None:
+    """Standing services in troubles drawn at random: each replica is served again afterwards."""
+    world = stage.world
+    for number in range(800, 806):
+        job = daemon(stage.rng, number)
+        context = world.context(Host(f"10.9.3.{number - 799}"))
+        cancel = 30.0 if number % 3 == 0 else 400.0
+        world.loop.create_task(world.user(job, cancel), context=context)
+    await drawn_at_random(stage)
+    for _ in range(120):
+        await stage.wait(1.0)
+        served = {
+            number: [
+                t for n, ts in world.here.items() if n.startswith(f"j-{number:06d}") for t in ts
+            ]
+            for number in range(800, 806)
+        }
+        wanted = {n: 0 if n % 3 == 0 else world.jobs[f"j-{n:06d}"]["parcels"] for n in served}
+        if {n: len(tasks) for n, tasks in served.items()} == wanted:
+            break
+    assert {n: len(tasks) for n, tasks in served.items()} == wanted
+    for number in range(800, 806):
+        world.called_off[f"j-{number:06d}"] = True
+    while any(world.told[f"j-{number:06d}"] != "aborted" for number in range(800, 806)):
+        await stage.wait(1.0)
+
+
 MEETINGS: list[Meeting] = [
     gap,
     cancelled_as_the_leader_is_refused,
@@ -428,6 +465,7 @@
     hung_and_cancelled_at_the_limit,
     slow_store_and_too_much_work,
     drawn_at_random,
+    services_amid_troubles,
 ]
 
 
@@ -469,6 +507,7 @@
     [
         *[(meeting, 61) for meeting in MEETINGS],
         *[(drawn_at_random, seed) for seed in range(200, 212)],
+        *[(services_amid_troubles, seed) for seed in (220, 221, 222)],
         # Seeds on which something was found broken, with what had failed:
         (hung_and_cancelled_at_the_limit, 115),  # a spread array beside tasks in an unknown zone
         (hung_and_cancelled_at_the_limit, 110),  # room in a zone where the job may not go
--- a/tests/sim/test_upgrade.py
+++ b/tests/sim/test_upgrade.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import logging
-import random
 from typing import Any
 
 import pytest
@@ -13,8 +12,8 @@
 from peathall import settings
 from tests.sim import production
 from tests.sim.net import Host
-from tests.sim.test_days import NODE, draw_job, users, virtual
-from tests.sim.test_meetings import Stage, longer, watch
+from tests.sim.test_days import NODE, users, virtual
+from tests.sim.test_meetings import Stage, daemon, longer, watch
 from tests.sim.world import World
 
 NEXT = "txn_ops = 12\n[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 30.0\n"
@@ -48,16 +47,6 @@
     world.crash_node(index, back_s)
 
 
-def daemon(rng: random.Random, number: int) -> dict[str, Any]:
-    return draw_job(rng, number) | {
-        "id": f"j-{number:06d}", "docket": "web", "desk": "blue", "shape": "daemon",
-        "precedence": "critical", "parcels": rng.choice([1, 2, 3]), "vcpus": 0.5, "cards": 0.0,
-        "ram_gb": 1.0, "builds": None, "ward": None, "together": False,
-        "scatter": rng.random() < 0.5, "standby": True, "image_gb": 1.0,
-        "reckon_s": 0.0, "tally_s": 0.0, "run_s": 0.0,
-    }  # fmt: skip
-
-
 def lower_limits(world: World) -> None:
     world.state.value_kb, world.state.txn_ops, world.state.limits = 2.0, 4, (200.0, 30.0)
 
