--- /dev/null
+++ b/bench/meetings.py
@@ -0,0 +1,228 @@
+"""Days on which two or more troubles meet, for any site file.
+
+    python3 bench/meetings.py SITE.toml OUT_DIR [SEED]
+
+Writes one TOML file for each meeting, to be played with `fleetbench run SITE.toml FILE`. Lease,
+cancellation bound, classes and the number of controllers are read from the site file.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+Fault = dict[str, Any]
+
+
+def text(value: Any) -> str:
+    """A value in TOML's inline form."""
+    if isinstance(value, dict):
+        return "{ " + ", ".join(f"{key} = {text(item)}" for key, item in value.items()) + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(text(item) for item in value) + "]"
+    return json.dumps(value)  # strings, numbers and booleans look the same in both
+
+
+def fault(at_s: float, kind: str, **rest: Any) -> Fault:
+    return {"at_s": at_s, "kind": kind, **rest}
+
+
+def leader(at_s: float, kind: str, **rest: Any) -> Fault:
+    """A trouble of the controller that does most, which is the one that leads."""
+    return fault(at_s, kind, count=1, busiest=True, **rest)
+
+
+def meetings(site: dict[str, Any]) -> dict[str, list[Fault]]:
+    lease: float = site["workers"]["lease_s"]
+    cancel: float = site["workers"]["cancel_s"]
+    count: int = site["nodes"]["count"]
+    first = site["jobs"][0]["name"]
+    last = site["jobs"][-1]["name"]
+    zone = site["machines"][-1]["zone"]
+    t = site.get("warmup_s", 60.0) + 20.0
+    refused = {"from_state": True, "mode": "refuse"}
+    asks = [fault(t - 15, "close_looks", for_s=160.0), fault(t - 15, "odd_requests", for_s=160.0)]
+    days: dict[str, list[Fault]] = {
+        "gap-asked": [
+            leader(t, "node_cut", for_s=14.0, **refused),
+            fault(t + 2, "state_outage", for_s=cancel + 12),
+            leader(t + 90, "node_cut", for_s=14.0, **refused),
+            fault(t + 91.5, "state_outage", for_s=cancel + 12),
+        ],
+        "cancel-at-refusal": [
+            leader(t, "node_cut", for_s=20.0, **refused),
+            fault(t, "cancel_now", count=12),
+            fault(t + 1, "state_outage", for_s=cancel + 8),
+            leader(t + 85, "node_cut", for_s=30.0, **refused),
+            fault(t + 85, "cancel_now", count=12, hang_s=lease - 4),
+            fault(t + 88.2, "cancel_now", count=8),
+            fault(t + 88.6, "state_outage", for_s=cancel + 8),
+        ],
+        "all-away": [
+            fault(t, "node_down", count=count, for_s=lease + 8),
+            fault(t + 3, "cancel_now", count=8),
+            fault(t + 70, "node_crash", count=count),
+            fault(t + 70.5, "cancel_now", count=8),
+        ],
+        "hand-over": [
+            *[leader(t + 4.0 * i, "node_crash") for i in range(6)],
+            *[fault(t + 1.0 + 4.0 * i, "cancel_now", count=3) for i in range(6)],
+            fault(t + 60, "node_roll", every_s=3.0),
+            fault(t + 62, "cancel_now", count=8),
+            fault(t + 110, "node_crash", count=count),
+        ],
+        "ten-leaders-in-an-outage": [
+            fault(t, "late_writes", share=0.3, for_s=120.0),
+            *[leader(t + 12.0 * i, "node_crash") for i in range(10)],
+            fault(t + 40, "state_outage", for_s=30.0),
+            *[fault(t + 5 + 24.0 * i, "cancel_now", count=4) for i in range(5)],
+        ],
+        "zone": [
+            fault(t, "zone_cut", zone=zone, for_s=lease + 10, mode="hold"),
+            fault(t + 4, "cancel_now", count=10),
+            leader(t + 8, "node_crash"),
+            fault(t + 75, "machine_die", count=15),
+            leader(t + 76, "node_crash"),
+        ],
+        "unreached-machines": [
+            fault(t, "machine_cut", share=0.25, for_s=lease - 3, mode="hold"),
+            leader(t + 2, "node_crash"),
+            fault(t + 4, "cancel_now", count=10),
+            fault(t + 60, "machine_deaf", share=0.25, for_s=lease + 10),
+            leader(t + 62, "node_crash"),
+            fault(t + 64, "cancel_now", count=10),
+            fault(t + 105, "machine_cut", share=0.3, for_s=lease + 6, mode="hold"),
+            fault(t + 106, "cancel_now", count=10),
+            leader(t + 108, "node_crash"),
+        ],
+        "new-machines": [
+            fault(t - 5, "boot_trouble", fail=0.0, factor=0.04, for_s=150.0),
+            fault(t, "job_burst", **{"class": first}, factor=4.0, for_s=60.0),
+            fault(t, "late_writes", share=0.4, for_s=60.0),
+            leader(t + 8, "node_crash"),
+            leader(t + 30, "node_crash"),
+            fault(t + 33, "cancel_now", count=10),
+        ],
+        "asked-everywhere": [
+            fault(t, "cancel_at_end", share=0.6, for_s=140.0),
+            fault(t + 10, "late_writes", share=0.5, for_s=40.0, at_once=True),
+            leader(t + 55, "node_crash"),
+            fault(t + 58, "cancel_now", count=10),
+            leader(t + 80, "node_cut", for_s=15.0, **refused),
+            fault(t + 81, "cancel_now", count=10),
+            fault(t + 110, "peers_refuse", for_s=25.0),
+            fault(t + 112, "cancel_now", count=10),
+        ],
+        "too-much": [
+            fault(t, "job_burst", **{"class": first}, factor=5.0, for_s=80.0),
+            fault(t, "job_burst", **{"class": last}, factor=4.0, for_s=80.0),
+            leader(t + 30, "node_crash"),
+            fault(t + 33, "cancel_now", count=16),
+        ],
+        "old-report": [
+            fault(t - 10, "late_reports", share=0.5, for_s=120.0, for_next=True),
+            leader(t + 15, "node_crash"),
+            fault(t + 16, "machine_cut", share=0.2, for_s=12.0, mode="hold"),
+            leader(t + 50, "node_crash"),
+            fault(t + 52, "cancel_now", count=10),
+            leader(t + 90, "node_freeze", for_s=20.0),
+        ],
+        "old-reports": [
+            fault(t - 10, "late_reports", share=0.5, for_s=140.0),
+            fault(t + 10, "machine_cut", share=0.3, for_s=lease + 6, mode="hold"),
+            leader(t + 55, "node_crash"),
+            fault(t + 57, "machine_hang", share=0.1, for_s=lease - 6),
+            fault(t + 60, "cancel_now", count=10, hang_s=lease - 4),
+        ],
+        "leader-with-its-workers": [
+            leader(t, "node_cut", for_s=35.0, from_state=True, from_peers=True, mode="hold"),
+            fault(t + 1, "cancel_now", count=10),
+            fault(t + 5, "cancel_now", count=10),
+            leader(t + 70, "node_cut", for_s=35.0, from_state=True, from_peers=True, mode="refuse"),
+            fault(t + 71, "cancel_now", count=10),
+            fault(t + 75, "state_outage", for_s=cancel + 6),
+        ],
+        "late-writes": [
+            fault(t, "late_writes", share=0.5, for_s=60.0),
+            fault(t + 5, "cancel_now", count=10),
+            leader(t + 20, "node_crash"),
+            leader(t + 40, "node_cut", for_s=10.0, **refused),
+            fault(t + 80, "late_writes", share=0.7, for_s=40.0, at_once=True),
+            fault(t + 85, "cancel_now", count=10),
+            leader(t + 100, "node_crash"),
+        ],
+        "lost-answers": [
+            fault(t, "late_writes", share=1.0, for_s=cancel + 15, at_once=True),
+            fault(t + 3, "cancel_now", count=20),
+            fault(t + 20, "cancel_now", count=10, hang_s=lease - 4),
+        ],
+        "mute": [
+            fault(t, "machine_mute", share=0.3, for_s=lease + 8),
+            fault(t + 3, "cancel_now", count=12),
+            leader(t + 6, "node_crash"),
+            fault(t + 70, "machine_mute", share=0.3, for_s=lease - 6),
+            fault(t + 72, "cancel_now", count=12),
+            fault(t + 73, "state_outage", for_s=20.0),
+        ],
+        "hung-and-cancelled": [
+            fault(t, "cancel_now", count=16, hang_s=lease - 3),
+            leader(t + 1, "node_crash"),
+            fault(t + 50, "cancel_now", count=16, hang_s=cancel - 8),
+            fault(t + 51, "cloud_outage", for_s=cancel + 10),
+            leader(t + 54, "node_freeze", for_s=12.0),
+            fault(t + 120, "cancel_now", count=16, hang_s=cancel + 10),
+        ],
+    }
+    for faults in days.values():
+        faults += asks
+        faults.sort(key=lambda entry: float(entry["at_s"]))
+    return days
+
+
+def swarm(site: dict[str, Any]) -> dict[str, Any]:
+    """One-task jobs, four a second, a quarter of them cancelled."""
+    smallest = min(site["machine_types"], key=lambda kind: kind["cpus"])
+    return {
+        "name": "lookups", "kind": "array", "priority": "normal",
+        "teams": [team["name"] for team in site["teams"]], "cpus": 0.5, "gpus": 0.0,
+        "memory_gb": 1.0, "vary": 0.3, "spot": True, "tasks": {"sizes": [1], "weights": [1.0]},
+        "run_s": {"median": 8.0, "p95": 14.0, "max": smallest.get("boot_s", 20.0)},
+        "estimate_error": 0.5, "checkpoint_s": 0.0, "save_s": 0.0, "cancelled": 0.25,
+        "images": {"count": 2, "gb": {"median": 0.5, "p95": 0.6, "max": 0.8}},
+        "arrivals": {"rate": 4.0}, "initial": 0,
+    }  # fmt: skip
+
+
+def write(site: dict[str, Any], out: Path, seed: int) -> None:
+    out.mkdir(parents=True, exist_ok=True)
+    jobs = [{"name": job["name"], "cancelled": 0.25} for job in site["jobs"]]
+    t = site.get("warmup_s", 60.0) + 20.0
+    days = {name: (faults, jobs) for name, faults in meetings(site).items()}
+    crash = [leader(t + 30, "node_crash"), fault(t + 80, "late_writes", share=0.3, for_s=30.0)]
+    days["swarm"] = (crash, [*jobs, swarm(site)])
+    for name, (faults, classes) in days.items():
+        lines = [
+            "[[day]]",
+            f'name = "{name}"',
+            'slot = "trouble"',
+            "light = true",
+            f"seed = {seed}",
+            f"duration_s = {t + 200.0}",
+            f"jobs = {text(classes)}",
+            "vary = { state_slow = 0.04, state_slow_times = 25.0 }",
+            "faults = [",
+            *[f"  {text(entry)}," for entry in faults],
+            "]",
+        ]
+        (out / f"{name}.toml").write_text("\n".join(lines) + "\n")
+
+
+if __name__ == "__main__":
+    write(
+        tomllib.loads(Path(sys.argv[1]).read_text()),
+        Path(sys.argv[2]),
+        int(sys.argv[3]) if len(sys.argv) > 3 else 11,
+    )
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -11,6 +11,7 @@
 
 class JobPhase(Enum):
     ACTIVE = auto()  # accepted, with work left
+    CANCELLING = auto()  # its user wants it cancelled, which is being stored: nothing starts
     CANCELLED = auto()  # cancellation stored; attempts may still be on machines
     DONE = auto()  # every task stored as done; attempts may still be on machines
 
@@ -122,9 +123,17 @@
         self.settling: asyncio.Future[str] | None = None  # its final state is on its way there
 
     def enter(self, phase: JobPhase) -> None:
-        if self.phase is JobPhase.ACTIVE:
+        """A final phase is never left; what is being cancelled is only cancelled."""
+        if self.phase is JobPhase.ACTIVE or (
+            self.phase is JobPhase.CANCELLING and phase is JobPhase.CANCELLED
+        ):
             self.phase = phase
 
+    @property
+    def over(self) -> bool:
+        """Its final state is stored."""
+        return self.phase in (JobPhase.CANCELLED, JobPhase.DONE)
+
     def enter_trust(self, trust: Trust) -> None:
         self.trust = trust
 
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -41,16 +41,17 @@
     for need, limit in ((spec.cpus, team.cpus_max), (spec.gpus, team.gpus_max)):
         if limit and need * many > limit + 1e-6:
             return "needs more than its team's limit"
-    for kind in types.values():
-        if spec.types is not None and kind.name not in spec.types:
-            continue
-        if spec.zone is not None and spec.zone not in kind.zones:
-            continue
-        if spec.cpus <= kind.cpus and spec.gpus <= kind.gpus and spec.ram <= kind.ram:
-            break
-    else:
+    fitting = [
+        kind
+        for kind in types.values()
+        if (spec.types is None or kind.name in spec.types)
+        and (spec.zone is None or spec.zone in kind.zones)
+        and (spec.cpus <= kind.cpus and spec.gpus <= kind.gpus and spec.ram <= kind.ram)
+    ]
+    if not fitting:
         return "a task fits no allowed machine type"
-    if spec.gang and spec.spread and spec.tasks > 1 and (spec.one_zone or spec.zone):
+    zones = {zone for kind in fitting for zone in kind.zones if spec.zone in (None, zone)}
+    if spec.gang and spec.spread and spec.tasks > 1 and (spec.one_zone or len(zones) == 1):
         return "all tasks in one zone and at most half of them there"
     return None
 
@@ -82,6 +83,7 @@
         self.homes: dict[str, dict[str, None]] = {}  # record -> its jobs that are not archived
         self.ends_left: dict[str, set[str]] = {}  # record of final states -> the same
         self.archiving: set[str] = set()  # records that are being written without some jobs
+        self.twins: dict[str, str] = {}  # job -> a second record that holds it, to be trimmed
         self.tasks: set[asyncio.Task[None]] = set()
 
     # --- records -------------------------------------------------------------
@@ -128,15 +130,31 @@
             self.on_change()
         elif job.home != home:
             # Accepted here and, while no answer of ours got through, elsewhere as well: the
-            # record that holds it alone goes.
-            alone = home if home.startswith(records.JOB) else job.home
-            if alone == job.home:
+            # record that holds it alone goes; of two that hold others too, one is written anew.
+            shared = not home.startswith(records.JOB)
+            twin = job.home if shared and job.home.startswith(records.JOB) else home
+            if twin == job.home:
                 del self.homes[job.home]
                 job.home = home
                 self.homes.setdefault(home, {})[spec.id] = None
-            self.writer.offer_drop(alone)
+            self.twins[spec.id] = twin
+            self.writer.offer(f"twin {twin}", lambda: self._trim(twin))
         return job
 
+    def _trim(self, key: str) -> Change | None:
+        """A record without the jobs that have their home elsewhere."""
+        if key in self.archiving:
+            return None  # written without them anyway; offered again once that is done
+        rest = [names.spec_to_record(self.books.jobs[i].spec) for i in self.homes.get(key, ())]
+        change = Change({}, [Put(key, {"jobs": rest}) if rest else Drop(key)])
+        return change.then(lambda: self._trimmed(key))
+
+    def _trimmed(self, key: str) -> None:
+        for job_id in [job_id for job_id, twin in self.twins.items() if twin == key]:
+            del self.twins[job_id]
+            if job_id in self.books.jobs:
+                self.archive_if_over(self.books.jobs[job_id])
+
     def _final(self, job: Job, standing: Standing, end: str) -> None:
         if standing is Standing.DONE:
             job.mark_all_done()
@@ -166,7 +184,9 @@
             return NOT_NOW
         why = can_never_run(spec, self.books.types, self.params)
         if why is not None:
-            return 422, {"error": why}
+            # Whatever a repetition carries, a job that was accepted stays so: also one that
+            # only the store knows of.
+            return await self._read(spec.id) or (422, {"error": why})
         record = names.spec_to_record(spec)
         # Neither archived, nor accepted by another controller.
         absent = {records.PAST + spec.id: 0, records.JOB + spec.id: 0}
@@ -239,12 +259,20 @@
             if job_id not in self.books.jobs:
                 return known  # over for good
         job = self.books.jobs[job_id]
-        while job.phase is JobPhase.ACTIVE:
+        await self._cancel(job)
+        return 200, self.status(job)
+
+    async def _cancel(self, job: Job) -> None:
+        while not job.over:
             if job.settling is not None:
                 await asyncio.wait([job.settling])
                 continue
+            # Its tasks end now, not once the answer of the store is here: that may be lost while
+            # another controller has read the cancellation and told it, and as long as workers
+            # are answered without the stop, their leases go on.
+            job.enter(JobPhase.CANCELLING)
+            self.on_cancelled(job)
             await self._settle(job, Standing.CANCELLED)
-        return 200, self.status(job)
 
     # --- fates ---------------------------------------------------------------
     async def _settle(self, job: Job, standing: Standing) -> None:
@@ -257,8 +285,6 @@
             job.settling = None
         self._final(job, standing, end)
         log.info("job %s is %s", job.spec.id, standing.name.lower())
-        if standing is Standing.CANCELLED:
-            self.on_cancelled(job)
         self.archive_if_over(job)
         self.on_change()
 
@@ -314,25 +340,29 @@
 
     def look_after(self, job: Job) -> None:
         """Every second: an end that could not be stored must not be given up."""
-        if job.phase is not JobPhase.ACTIVE:
+        if job.over:
             self.archive_if_over(job)
+        elif job.phase is JobPhase.CANCELLING:
+            if job.settling is None:
+                self._spawn(self._cancel(job))
         elif len(job.done) >= job.spec.tasks:
             self.note_done(job)
 
     def archive_if_over(self, job: Job) -> None:
-        if self._is_over(job) and self.books.jobs.get(job.spec.id) is job:
+        if self._can_go(job) and self.books.jobs.get(job.spec.id) is job:
             self.writer.offer(job.home, lambda: self._archive_change(job.home))
 
-    @staticmethod
-    def _is_over(job: Job) -> bool:
-        return job.phase is not JobPhase.ACTIVE and not job.attempts and not job.writing
+    def _can_go(self, job: Job) -> bool:
+        """Whether it may be archived: while a second record holds it, a new leader that reads
+        that one would bring it back to life."""
+        return job.over and not job.attempts and not job.writing and job.spec.id not in self.twins
 
     def _archive_change(self, home: str) -> Change | None:
         """Some of a record's jobs that are over, and the record without them."""
         if home in self.archiving:
             return None  # looked after again once that is done
         here = [self.books.jobs[job_id] for job_id in self.homes.get(home, ())]
-        over = [job for job in here if self._is_over(job)][: c.ARCHIVE_AT_ONCE]
+        over = [job for job in here if self._can_go(job)][: c.ARCHIVE_AT_ONCE]
         if not over:
             return None
         rest = [names.spec_to_record(job.spec) for job in here if job not in over]
@@ -355,6 +385,8 @@
 
     def _archived(self, home: str, over: list[Job], done: asyncio.Future[int]) -> None:
         self.archiving.discard(home)
+        if home in self.twins.values():
+            self.writer.offer(f"twin {home}", lambda: self._trim(home))
         for job in over:
             job.writing = False
         if done.cancelled() or done.exception() is not None:
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -14,7 +14,7 @@
 from peathall.jobs import records
 from peathall.jobs.model import Job
 from peathall.jobs.service import NOT_NOW, Answer, Jobs
-from peathall.leadership.election import LEAD, Mandate
+from peathall.leadership.election import Mandate
 from peathall.leadership.lease import first_attempt
 from peathall.placement.service import ROUND, Placement
 from peathall.settings import Operator, Settings
@@ -56,7 +56,7 @@
         self._lease_alive = may_act
         now = self.loop.time()
         self.books = Books(mandate.term, first_attempt(mandate.term))
-        self.writer = Writer(store, params.state, (LEAD, mandate.version), may_act, depose)
+        self.writer = Writer(store, params.state, mandate.record, may_act, depose)
         self.workers = Workers(
             self.books,
             params.workers,
@@ -112,6 +112,7 @@
 
     def _cancelled(self, job: Job) -> None:
         now = self.loop.time()
+        self.workers.fence()
         for attempt in list(job.attempts.values()):
             self.workers.stop(attempt, 0.0, now)
 
--- a/peathall/leadership/election.py
+++ b/peathall/leadership/election.py
@@ -22,6 +22,7 @@
     StateClient,
     StoreError,
 )
+from peathall.store.writer import LeadRecord
 
 log = logging.getLogger("peathall.leadership")
 
@@ -37,11 +38,11 @@
 
 
 class Mandate:
-    """What a won election gives: the term, `lead`'s version and the lease."""
+    """What a won election gives: the term, `lead` as it was written, and its lease."""
 
-    def __init__(self, term: int, version: int, lease_id: int, lease: LeadLease) -> None:
+    def __init__(self, term: int, record: LeadRecord, lease_id: int, lease: LeadLease) -> None:
         self.term = term
-        self.version = version
+        self.record = record
         self.lease_id = lease_id
         self.lease = lease
 
@@ -156,7 +157,8 @@
             return
         # A commit without an answer ends up in run(): if it did go through, `lead`
         # names us, that lease is ended, and the term is simply skipped.
-        self.mandate = Mandate(term, version, lease_id, LeadLease(c.LEAD_TTL_S, sent))
+        written = LeadRecord(LEAD, record, version, lease_id)
+        self.mandate = Mandate(term, written, lease_id, LeadLease(c.LEAD_TTL_S, sent))
         await self._reign(self.mandate)
 
     async def _reign(self, mandate: Mandate) -> None:
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -193,16 +193,28 @@
     async def _submit(self, request: Request) -> Response:
         if not await self.turns.turn(Rank.CHANGE):
             return self._user(NOT_NOW)
+        raw: dict[str, Any] = {}
         try:
-            spec = names.job_from_wire(body.cbor_map(request.body), self.wall())
+            raw = body.cbor_map(request.body)
+            spec = names.job_from_wire(raw, self.wall())
             record = names.spec_to_record(spec)
             if body.json_size(record) > self.settings.params.state.value_kb * 1024 * c.VALUE_FILL:
                 raise body.MalformedError("too large to be kept")
         except body.MalformedError as exc:
-            log.info("malformed submission: %s", exc)
-            return body.cbor_response(400, {"error": str(exc)})
+            return self._user(await self._malformed(raw.get("id"), str(exc)))
         return self._user(await self._ask({"op": "accept", "job": record}, spec))
 
+    async def _malformed(self, job_id: Any, why: str) -> Answer:
+        """What can't be accepted may still be the repetition of what was: that one stays known,
+        whatever is wrong with the repetition."""
+        known: Answer = (404, None)
+        if isinstance(job_id, str) and JOB_ID.match(job_id):
+            known = await self._ask({"op": "query", "id": job_id})
+        if known[0] != 404:
+            return known
+        log.info("malformed submission: %s", why)
+        return 400, {"error": why}
+
     async def _ask(self, message: dict[str, Any], spec: JobSpec | None = None) -> Answer:
         """The leader here, the leader elsewhere, or else the store itself."""
         if self.leader is not None:
--- a/peathall/settings.py
+++ b/peathall/settings.py
@@ -9,6 +9,8 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from peathall import constants as c
+
 Positive = Annotated[float, Meta(gt=0)]
 NotNegative = Annotated[float, Meta(ge=0)]
 Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
@@ -53,6 +55,12 @@
     gang_peer_s: Positive
     cancel_s: Positive
 
+    @property
+    def lapse_s(self) -> float:
+        """So long after the last answer that may have renewed its lease, a worker surely has no
+        tasks any more, however its clock runs."""
+        return self.lease_s * (1 + 2 * c.DRIFT) + c.LAPSE_MARGIN_S
+
 
 class StateSettings(Struct, frozen=True):
     rps: Positive
@@ -117,6 +125,13 @@
     names = [settings.name, *(peer.name for peer in settings.peers)]
     if len(set(names)) != len(names):
         raise SettingsError("member: two controllers have the same name")
+    workers = settings.params.workers
+    if workers.cancel_s <= workers.lapse_s:
+        # A machine that hears nobody keeps the tasks of a cancelled job until its lease ends.
+        raise SettingsError(
+            f"params.workers.cancel_s: {workers.cancel_s:g} must be more than {workers.lapse_s:g},"
+            f" the longest that a machine cut off keeps its tasks (lease_s {workers.lease_s:g})"
+        )
     return settings
 
 
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -2,8 +2,12 @@
 
 What arrives while a commit is under way goes into the next one, so batches widen
 with the load. Every transaction is conditional on `lead`'s version and on the
-versions of the records it touches. A commit without an answer is repeated
-unchanged until its fate is known; nothing else is written in the meantime.
+versions of the records it touches. After a commit without an answer nothing else
+is written until its fate is known: a read tells whether it was carried out, and if
+not, it is repeated unchanged. If it has to be given up, since a condition of it does
+not hold any more, `lead` is written anew first: the try without an answer may still
+be carried out minutes later, when its conditions may hold again, and no one would
+know of what it wrote.
 """
 
 from __future__ import annotations
@@ -53,6 +57,18 @@
         return self
 
 
+class LeadRecord:
+    """The record that shows that we lead; every transaction depends on its version."""
+
+    __slots__ = ("key", "lease", "value", "version")
+
+    def __init__(self, key: str, value: Any, version: int, lease: int | None) -> None:
+        self.key = key
+        self.value = value
+        self.version = version
+        self.lease = lease
+
+
 class WriterPhase(Enum):
     IDLE = auto()
     COMMITTING = auto()
@@ -65,7 +81,7 @@
         self,
         store: StateClient,
         limits: StateSettings,
-        lead: tuple[str, int],
+        lead: LeadRecord,
         may_act: Callable[[], bool],
         on_deposed: Callable[[], None],
     ) -> None:
@@ -216,7 +232,7 @@
             pass
 
     async def _commit(self, batch: list[Change]) -> None:
-        conditions = {self.lead[0]: self.lead[1]}
+        conditions = {self.lead.key: self.lead.version}
         ops: list[Put | Drop] = []
         for change in batch:
             for op in change.ops:
@@ -226,9 +242,10 @@
         doubt = refused = False
         while self.phase is not WriterPhase.STOPPED:
             try:
-                revision = await self.store.commit(conditions, ops)
+                revision = await self._tried(ops, conditions) if doubt else 0
+                revision = revision or await self.store.commit(conditions, ops)
             except StoreDoubtError as exc:
-                log.info("commit without an answer, repeating it: %s", exc)
+                log.info("no answer to a commit, or to whether it was carried out: %s", exc)
                 doubt = True
                 self._enter(WriterPhase.IN_DOUBT)
                 await asyncio.sleep(c.STORE_RETRY_S)
@@ -238,48 +255,75 @@
                     refused = True
                 await asyncio.sleep(c.STORE_RETRY_S)
             except ConflictError as exc:
-                if self.lead[0] in exc.failed:
-                    self._settle(batch, DeposedError())
-                    self.on_deposed()
-                    return
+                if self.lead.key in exc.failed:
+                    break
                 if doubt:
-                    applied = await self._was_applied(ops, conditions)
-                    if applied is None:
-                        continue
+                    # Our own earlier try may be what changed the records: look once more, now
+                    # that a further one has been refused for good.
+                    applied = await self._until_known(ops, conditions)
                     if applied:
                         self._applied(batch, applied)
                         return
+                    if not await self._fence():
+                        break
                 await self._split(batch, exc.failed)
                 return
             else:
                 self._applied(batch, revision)
                 return
+        deposed = self.phase is not WriterPhase.STOPPED
         self._settle(batch, DeposedError())
+        if deposed:
+            self.on_deposed()
 
-    async def _was_applied(self, ops: list[Put | Drop], conditions: dict[str, int]) -> int | None:
+    async def _tried(self, ops: list[Put | Drop], conditions: dict[str, int]) -> int:
         """After a doubt: the revision at which our own earlier try went through, 0 if none did.
 
-        All puts of a transaction share one revision. Looking at a single key is not
-        enough: a follower may have created the very same job record meanwhile, which
-        says nothing about the fates that were to be written beside it.
+        All that a transaction writes has one revision, newer than whatever it depended on.
+        Looking at a single record is not enough: another controller may have created the very
+        same one, which says nothing of what was to be written beside it. Nobody else drops
+        anything, but others may have created anew what it dropped.
         """
-        revisions = set()
-        try:
-            for op in ops:
-                item = await self.store.get(op.key)
-                if isinstance(op, Drop):
-                    if item is not None:
-                        return 0
-                elif item is None or item.value != op.value or item.version == conditions[op.key]:
+        before = max(conditions.values())
+        written = set()
+        for op in ops:
+            item = await self.store.get(op.key, first=True)
+            if isinstance(op, Put):
+                if item is None or item.version <= before or item.value != op.value:
                     return 0
-                else:
-                    revisions.add(item.version)
-        except StoreError:
-            await asyncio.sleep(c.STORE_RETRY_S)
-            return None
-        if len(revisions) > 1:
+                written.add(item.version)
+            elif item is not None and item.version <= before:
+                return 0
+        if len(written) > 1:
             return 0
-        return revisions.pop() if revisions else 1
+        return written.pop() if written else before + 1
+
+    async def _until_known(self, ops: list[Put | Drop], conditions: dict[str, int]) -> int:
+        while self.phase is not WriterPhase.STOPPED:
+            try:
+                return await self._tried(ops, conditions)
+            except StoreError:
+                await asyncio.sleep(c.STORE_RETRY_S)
+        return 0
+
+    async def _fence(self) -> bool:
+        """Write `lead` anew, so that no earlier try of ours can be carried out any more."""
+        lead = self.lead
+        while self.phase is not WriterPhase.STOPPED:
+            try:
+                item = await self.store.get(lead.key, first=True)
+                # A version that we don't know is our own doubtful try, or another's lead.
+                if item is None or item.value != lead.value:
+                    return False
+                renewed = Put(lead.key, lead.value, lead.lease)
+                lead.version = await self.store.commit({lead.key: item.version}, [renewed])
+                log.info("wrote %s anew, since a commit without an answer was given up", lead.key)
+                return True
+            except LeaseGoneError:
+                return False
+            except (StoreError, ConflictError):
+                await asyncio.sleep(c.STORE_RETRY_S)
+        return False
 
     async def _split(self, batch: list[Change], failed: list[str]) -> None:
         """A record is not what we thought: fail its change, write the others."""
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -94,7 +94,7 @@
 
     def lapse_s(self) -> float:
         """How long after our last answer a silent worker surely has no tasks any more."""
-        return self.settings.lease_s * (1 + 2 * c.DRIFT) + c.LAPSE_MARGIN_S
+        return self.settings.lapse_s
 
     def silence(self, machine: Machine, now: float) -> float:
         return now - machine.last_heard
@@ -234,7 +234,7 @@
             else:
                 strays.append((item.job, item.task, item.attempt))
         self.exits[machine.name] = exits
-        if strays:
+        if strays and report.token >= self.base:  # else perhaps an old report, come late
             log.error("machine %s runs tasks that are not in the books: %s", machine.name, strays)
         self.strays[machine.name] = strays
         if noticed:
@@ -378,6 +378,10 @@
         if attempt.phase is not AttemptPhase.PLANNED:
             self.push(self.books.machines[attempt.machine])
 
+    def fence(self) -> None:
+        """Starts that are under way are refused wherever an answer from now on gets."""
+        self.counter += 1
+
     def in_reports(self, machine: Machine) -> int:
         """How many tasks its next report will name: those it has, and ends not yet forgotten."""
         return len(machine.attempts) + len(self.exits.get(machine.name, ()))
@@ -408,7 +412,7 @@
                 if len(orders) >= c.MACHINE_TASKS:
                     break
                 job = self.books.jobs.get(known.job)
-                stored = not known.done or job is None or job.phase is not JobPhase.ACTIVE
+                stored = not known.done or job is None or job.over
                 if not stored and job is not None:
                     stored = known.task in job.stored
                 if not stored:
@@ -470,7 +474,7 @@
     def tick(self, now: float) -> None:
         # Raised every second: late direct starts are refused from then on, and the token
         # that a report shows tells which of our answers the worker has had.
-        self.counter += 1
+        self.fence()
         self.attend(now)
         self._empty_sick(self.blame.look(now))
         for machine in list(self.books.machines.values()):
--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -23,6 +23,7 @@
 
 
 HOST: contextvars.ContextVar[Host] = contextvars.ContextVar("host")
+CALLER: contextvars.ContextVar[str] = contextvars.ContextVar("caller")  # who asks a server
 
 
 class VirtualSelector(selectors.SelectSelector):
@@ -122,6 +123,7 @@
         mine = MemoryTransport(self, me, contextvars.copy_context())
         yours = MemoryTransport(self, there, context.copy())
         mine.peer, yours.peer = yours, mine
+        yours.context.run(CALLER.set, me.ip)
         mine.protocol, yours.protocol = factory(), yours.context.run(make)
         yours.context.run(yours.protocol.connection_made, yours)
         mine.protocol.connection_made(mine)
--- /dev/null
+++ b/tests/sim/test_meetings.py
@@ -0,0 +1,467 @@
+"""Two troubles at once: each meeting is brought about, and the rules checked on what the stand-ins
+themselves saw."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from peathall.wire.http import HttpClient, NoAnswerError
+from tests.sim.net import Host
+from tests.sim.test_days import cut, draw_job, mute, node_settings, users, virtual
+from tests.sim.world import Worker, World
+
+Meeting = Callable[["Stage"], Awaitable[None]]
+
+
+class Stage:
+    """A world and the troubles that it knows, by the users' names for them."""
+
+    def __init__(self, world: World) -> None:
+        self.world, self.loop, self.rng = world, world.loop, world.rng
+
+    # --- who ------------------------------------------------------------------
+    @property
+    def leader(self) -> int:
+        return self.world.leader() or 0
+
+    def ip(self, index: int) -> str:
+        return f"10.0.0.{index + 1}"
+
+    def some_workers(self, share: float) -> list[Worker]:
+        up = [w for w in self.world.workers.values() if w.state == "running"]
+        busy = [w for w in up if w.tasks]
+        return (busy or up)[: max(1, round(share * len(up)))]
+
+    # --- troubles -------------------------------------------------------------
+    def trouble(self, seconds: float) -> None:
+        world = self.world
+        world.troubled_until = max(world.troubled_until, self.loop.now + seconds + 30.0)
+
+    def refuse_leader(self, seconds: float) -> None:
+        self.trouble(seconds)
+        self.world.state.refused_until[self.ip(self.leader)] = self.loop.now + seconds
+
+    def outage(self, seconds: float) -> None:
+        self.trouble(seconds)
+        self.world.state.outage(seconds)
+
+    def crash(self, index: int, back_s: float) -> None:
+        self.trouble(back_s + 5)
+        self.world.crash_node(index, back_s)
+
+    def writes(self, seconds: float, late: float = 0.0, lost: float = 0.0) -> None:
+        self.trouble(seconds)
+        state = self.world.state
+        state.late, state.lost = late, lost
+
+        def over() -> None:
+            state.late = state.lost = 0.0
+
+        self.loop.call_later(seconds, over)
+
+    def cut_workers(self, share: float, seconds: float) -> list[Worker]:
+        self.trouble(seconds)
+        chosen = self.some_workers(share)
+        cut(self.world, [(w.host.ip, self.ip(i)) for w in chosen for i in range(3)], seconds)
+        return chosen
+
+    def deafen(self, share: float, seconds: float) -> None:
+        self.trouble(seconds)
+        ways = [(self.ip(i), w.host.ip) for w in self.some_workers(share) for i in range(3)]
+        mute(self.world, ways, seconds)
+
+    def hang(self, workers: list[Worker], seconds: float) -> None:
+        self.trouble(seconds)
+        for worker in workers:
+            worker.host.frozen_until = self.loop.now + seconds
+
+    def cancel_now(self, count: int, hang_s: float = 0.0) -> None:
+        """Jobs that run are called off, and perhaps their machines hang."""
+        world = self.world
+        running = [
+            j for j in sorted(world.accepted - world.cancelled.keys())
+            if world.told.get(j) not in ("done", "aborted")
+        ]  # fmt: skip
+        busy = [j for j in running if any(ts for n, ts in world.here.items() if n.startswith(j))]
+        for job_id in (busy + running)[:count]:
+            world.called_off[job_id] = True
+        if hang_s:
+            on = {t.worker for j in busy[:count] for n, ts in world.here.items()
+                  if n.startswith(j) for t in ts}  # fmt: skip
+            self.hang(sorted(on, key=lambda w: w.name)[:8], hang_s)
+
+    async def wait(self, low: float, high: float | None = None) -> None:
+        await asyncio.sleep(low if high is None else self.rng.uniform(low, high))
+
+
+# --- the meetings -------------------------------------------------------------
+async def gap(stage: Stage) -> None:
+    """The state service refuses the leader alone, another controller confirms cancellations, and
+    then it is down for all, longer than a cancellation may take."""
+    for _ in range(2):
+        await stage.wait(0.0, 3.0)  # the lease of the lead is of any age
+        old = stage.leader
+        stage.refuse_leader(14.0)
+        await stage.wait(0.0, 1.0)
+        stage.cancel_now(4)
+        await stage.wait(1.0, 5.0)
+        stage.cancel_now(4)
+        await stage.wait(0.0, 1.0)
+        stage.outage(stage.world.cancel_s + 8)
+        await stage.wait(stage.world.cancel_s + 20)
+        assert stage.world.leader() is not None, f"nobody leads after {old}"
+
+
+async def cancelled_as_the_leader_is_refused(stage: Stage) -> None:
+    stage.refuse_leader(10.0)
+    stage.cancel_now(6)
+    await stage.wait(1.0)
+    stage.outage(stage.world.cancel_s + 5)
+    await stage.wait(stage.world.cancel_s + 25)
+    # In the same term: refused and back within the lease of the lead, time and again.
+    for _ in range(8):
+        stage.refuse_leader(stage.rng.uniform(0.3, 2.5))
+        stage.cancel_now(1)
+        await stage.wait(1.0, 4.0)
+
+
+async def answers_of_the_store_are_lost(stage: Stage) -> None:
+    stage.writes(stage.world.cancel_s + 12, lost=1.0)
+    await stage.wait(1.0)
+    stage.cancel_now(4)
+    await stage.wait(8.0)
+    stage.cancel_now(4, hang_s=6.0)
+    await stage.wait(stage.world.cancel_s + 10)
+
+
+async def writes_are_late(stage: Stage) -> None:
+    stage.writes(30.0, late=0.4, lost=0.2)
+    for _ in range(3):
+        await stage.wait(2.0, 6.0)
+        stage.cancel_now(2)
+        await stage.wait(1.0, 3.0)
+        stage.crash(stage.leader, 0.3)
+    await stage.wait(15.0)
+
+
+async def all_are_away_for_longer_than_a_lease(stage: Stage) -> None:
+    for index in range(3):
+        stage.crash(index, stage.world.lease_s + stage.rng.uniform(1.0, 4.0))
+    stage.cancel_now(4)
+    await stage.wait(30.0)
+
+
+async def hand_over_and_back(stage: Stage) -> None:
+    for back in (0.02, 0.1, 0.4, 0.9, 3.0, 0.05):
+        stage.cancel_now(1)
+        stage.crash(stage.leader, back)
+        await stage.wait(0.2, 4.0)
+    for index in range(3):
+        stage.crash(index, 3.0)
+    await stage.wait(0.3)
+    stage.crash(stage.leader, 0.1)
+    await stage.wait(20.0)
+
+
+async def ten_leaders_in_two_minutes(stage: Stage) -> None:
+    stage.writes(60.0, late=0.1, lost=0.1)
+    for turn in range(10):
+        stage.cancel_now(1)
+        stage.crash(stage.leader, stage.rng.choice([0.1, 3.0]))
+        if turn == 4:
+            stage.outage(20.0)
+        await stage.wait(6.0, 12.0)
+
+
+async def a_zone_is_cut_off(stage: Stage) -> None:
+    """With the machines of a zone a controller that perhaps leads."""
+    world = stage.world
+    inside = [w.host.ip for w in world.workers.values() if w.zone == "b"] + [stage.ip(1)]
+    outside = ["10.2.0.1", "10.2.0.2", stage.ip(0), stage.ip(2)]
+    outside += [w.host.ip for w in world.workers.values() if w.zone == "a"]
+    stage.trouble(world.lease_s + 8)
+    cut(world, [(a, b) for a in inside for b in outside], world.lease_s + 8)
+    await stage.wait(1.0, 4.0)
+    stage.cancel_now(5)
+    await stage.wait(world.lease_s + 12)
+    for worker in [w for w in world.workers.values() if w.zone == "b"][:2]:
+        worker.die()
+    stage.crash(stage.leader, 3.0)
+    await stage.wait(15.0)
+
+
+async def machines_out_of_reach_as_the_leader_ends(stage: Stage) -> None:
+    for kind in ("cut", "deaf", "mute", "hang"):
+        lease = stage.world.lease_s
+        seconds = stage.rng.choice([lease - 4, lease + 4])
+        if kind == "cut":
+            stage.cut_workers(0.5, seconds)
+        elif kind == "deaf":
+            stage.deafen(0.5, seconds)
+        elif kind == "hang":
+            stage.hang(stage.some_workers(0.5), seconds)
+        else:
+            stage.trouble(seconds)
+            for worker in stage.some_workers(0.5):
+                worker.mute_until = stage.loop.now + seconds
+        await stage.wait(0.2, 2.0)
+        stage.crash(stage.leader, 3.0)
+        await stage.wait(0.5, 4.0)
+        stage.cancel_now(3)
+        await stage.wait(lease + 8)
+
+
+async def new_machines_at_once_as_writes_lag(stage: Stage) -> None:
+    world = stage.world
+    boot = world.boot
+    stage.writes(25.0, late=0.3, lost=0.1)
+    for worker in list(world.workers.values())[::2]:
+        worker.die()
+    for _ in range(3):
+        for worker in [w for w in world.workers.values() if w.state == "starting"]:
+            world.loop.call_later(stage.rng.uniform(0.1, 2.0), boot, worker)
+        await stage.wait(1.0, 2.0)
+        stage.cancel_now(1)
+        stage.crash(stage.leader, 0.2)
+        await stage.wait(4.0, 6.0)
+    await stage.wait(15.0)
+
+
+async def an_old_report_meets_a_new_leader(stage: Stage) -> None:
+    world = stage.world
+    world.kept = 0.3
+    await stage.wait(10.0)
+    for _ in range(3):
+        before = stage.leader
+        old = dict(world.old_reports)
+        world.old_reports.clear()
+        stage.crash(before, stage.rng.choice([0.2, 8.0]))
+        while world.leader() in (None, before) and not world.state.down:
+            await stage.wait(0.05)
+            if world.leader() is not None:
+                break
+        for raw in old.values():
+            for index in range(3):  # to every controller, just as the new one begins
+                world.loop.create_task(deliver(world, index, raw))
+        await stage.wait(1.0, 3.0)
+        stage.cancel_now(2)
+        await stage.wait(14.0)
+    world.kept = 0.0
+
+
+async def deliver(world: World, index: int, raw: bytes) -> None:
+    try:
+        client = HttpClient(f"10.0.0.{index + 1}:8080", keep=0)
+        await client.request("POST", "/checkin", raw, 4.0)
+    except NoAnswerError:
+        pass
+
+
+async def old_reports_after_newer_ones(stage: Stage) -> None:
+    world = stage.world
+    world.copies = 0.4
+    stage.cut_workers(0.4, world.lease_s + 4)
+    await stage.wait(10.0)
+    stage.crash(stage.leader, 0.5)
+    await stage.wait(2.0)
+    stage.cancel_now(4, hang_s=6.0)
+    await stage.wait(30.0)
+    world.copies = 0.0
+
+
+async def a_leader_with_only_its_workers_and_users(stage: Stage) -> None:
+    world = stage.world
+    for mode in ("hold", "refuse"):
+        ip = stage.ip(stage.leader)
+        others = {"10.2.0.1", *(stage.ip(i) for i in range(3))} - {ip}
+        stage.trouble(25.0)
+        cut(world, [(ip, other) for other in others], 25.0)
+        if mode == "refuse":
+            await stage.wait(1.0)
+            stage.outage(world.cancel_s + 4)
+        await stage.wait(0.0, 6.0)
+        stage.cancel_now(5)
+        await stage.wait(40.0)
+
+
+async def asked_everywhere(stage: Stage) -> None:
+    world = stage.world
+    world.close = True
+    world.at_end = 0.5
+    stage.writes(15.0, lost=0.4)
+    await stage.wait(18.0)
+    stage.crash(stage.leader, 0.4)
+    await stage.wait(4.0)
+    stage.refuse_leader(8.0)
+    stage.cancel_now(3)
+    await stage.wait(15.0)
+    stage.trouble(10.0)
+    cut(world, [(stage.ip(0), stage.ip(1)), (stage.ip(1), stage.ip(2))], 10.0)
+    stage.cancel_now(3)
+    await stage.wait(20.0)
+
+
+async def the_end_of_the_last_task(stage: Stage) -> None:
+    stage.world.close = True
+    stage.world.at_end = 1.0
+    await stage.wait(40.0)
+
+
+async def hung_and_cancelled_at_the_limit(stage: Stage) -> None:
+    lease = stage.world.lease_s
+    for hang in (lease - 3, lease + 6):
+        stage.cancel_now(6, hang_s=hang)
+        stage.cut_workers(0.3, lease - 2)
+        await stage.wait(0.5, 1.5)
+        stage.crash(stage.leader, 3.0)
+        stage.world.cloud_down_until = stage.loop.now + lease + 5
+        await stage.wait(lease + 14)
+
+
+async def slow_store_and_too_much_work(stage: Stage) -> None:
+    world = stage.world
+    world.state.slow = 0.4
+    stage.trouble(40.0)
+    for number in range(900, 960):
+        job = draw_job(world.rng, number) | {"parcels": 1, "shape": "sweep", "scatter": False}
+        if world.can_run(job):
+            cancel = 3.0 if number % 4 == 0 else None
+            context = world.context(Host(f"10.9.3.{number - 900}"))
+            world.loop.create_task(world.user(job, cancel), context=context)
+        await stage.wait(0.25)
+    stage.crash(stage.leader, 0.3)
+    await stage.wait(10.0)
+    stage.cancel_now(6)
+    stage.refuse_leader(6.0)
+    await stage.wait(10.0)
+    world.state.slow = 0.0
+
+
+async def drawn_at_random(stage: Stage) -> None:
+    """Two or three troubles of any kinds within a second or two, time and again."""
+    rng, world, lease = stage.rng, stage.world, stage.world.lease_s
+
+    def mute_some() -> None:
+        stage.trouble(lease)
+        for worker in stage.some_workers(0.3):
+            worker.mute_until = stage.loop.now + rng.uniform(3.0, lease + 6)
+
+    def freeze() -> None:
+        stage.trouble(lease)
+        world.freeze_node(rng.choice([stage.leader, rng.randrange(3)]), rng.uniform(1.0, 16.0))
+
+    def isolate() -> None:
+        ip = stage.ip(stage.leader)
+        others = {"10.2.0.1", *(stage.ip(i) for i in range(3))} - {ip}
+        stage.trouble(20.0)
+        cut(world, [(ip, other) for other in others], rng.uniform(2.0, 20.0))
+
+    def cloud() -> None:
+        world.cloud_down_until = stage.loop.now + rng.uniform(5.0, 25.0)
+
+    def copies() -> None:
+        world.copies = world.state.copies = rng.choice([0.0, 0.3])
+
+    troubles: list[Callable[[], object]] = [
+        lambda: stage.refuse_leader(rng.uniform(0.5, 14.0)),
+        lambda: stage.outage(rng.choice([2.0, 8.0, world.cancel_s + 4])),
+        lambda: stage.crash(stage.leader, rng.choice([0.05, 0.4, 3.0])),
+        lambda: [stage.crash(i, rng.uniform(0.1, 4.0)) for i in range(3)],
+        lambda: stage.writes(rng.uniform(3.0, 20.0), late=0.3, lost=0.3),
+        lambda: stage.cut_workers(0.4, rng.uniform(4.0, lease + 6)),
+        lambda: stage.deafen(0.3, rng.uniform(4.0, lease + 6)),
+        lambda: stage.hang(stage.some_workers(0.3), rng.uniform(2.0, lease + 6)),
+        lambda: rng.choice(list(world.workers.values())).die() if world.workers else None,
+        mute_some, freeze, isolate, cloud, copies,
+    ]  # fmt: skip
+    world.at_end = 0.3
+    for _ in range(5):
+        for trouble in rng.sample(troubles, rng.choice([2, 3])):
+            trouble()
+            await stage.wait(0.0, 1.5)
+            if rng.random() < 0.5:
+                stage.cancel_now(rng.choice([1, 3]), hang_s=rng.choice([0.0, 0.0, 7.0]))
+        world.close = rng.random() < 0.5
+        await stage.wait(4.0, 25.0)
+    world.copies = world.state.copies = 0.0
+
+
+MEETINGS: list[Meeting] = [
+    gap,
+    cancelled_as_the_leader_is_refused,
+    answers_of_the_store_are_lost,
+    writes_are_late,
+    all_are_away_for_longer_than_a_lease,
+    hand_over_and_back,
+    ten_leaders_in_two_minutes,
+    a_zone_is_cut_off,
+    machines_out_of_reach_as_the_leader_ends,
+    new_machines_at_once_as_writes_lag,
+    an_old_report_meets_a_new_leader,
+    old_reports_after_newer_ones,
+    a_leader_with_only_its_workers_and_users,
+    asked_everywhere,
+    the_end_of_the_last_task,
+    hung_and_cancelled_at_the_limit,
+    slow_store_and_too_much_work,
+    drawn_at_random,
+]
+
+
+def longer(job: dict[str, Any], rng: random.Random) -> dict[str, Any]:
+    """Some jobs run for longer than a lease and a cancellation together."""
+    if rng.random() < 0.4:
+        job |= {"run_s": rng.uniform(20.0, 90.0)}
+    return job
+
+
+async def play(world: World, meeting: Meeting) -> None:
+    await world.begin()
+    stage = Stage(world)
+    arriving = asyncio.create_task(users(world, 60.0, longer))
+    watching = asyncio.create_task(watch(world))
+    await asyncio.sleep(14.0)
+    await meeting(stage)
+    waiting = await arriving
+    deadline = max(world.loop.now, world.troubled_until) + 400.0
+    while world.loop.now < deadline and not all(task.done() for task in waiting):
+        await asyncio.sleep(1.0)
+    watching.cancel()
+    late = [j for j in world.accepted if world.told.get(j) not in ("done", "aborted")]
+    assert all(task.done() for task in waiting), late
+    for task in waiting:
+        await task
+    world.check_served()
+
+
+async def watch(world: World) -> None:
+    while True:
+        world.check_cancelled()
+        world.check_waits()
+        await asyncio.sleep(1.0)
+
+
+@pytest.mark.parametrize(
+    ("meeting", "seed"),
+    [
+        *[(meeting, 61) for meeting in MEETINGS],
+        *[(drawn_at_random, seed) for seed in range(200, 212)],
+        # Seeds on which something was found broken, with what had failed:
+        (hung_and_cancelled_at_the_limit, 115),  # a spread array beside tasks in an unknown zone
+        (hung_and_cancelled_at_the_limit, 110),  # room in a zone where the job may not go
+    ],
+    ids=lambda value: getattr(value, "__name__", str(value)),
+)
+def test_a_meeting_keeps_the_rules(meeting: Meeting, seed: int) -> None:
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual(seed) as loop:
+        world = World(loop, seed, [node_settings(i) for i in range(3)])
+        loop.run_until_complete(play(world, meeting))
+        assert world.broken == []
+        assert world.cancelled
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -95,3 +95,13 @@
     path.write_text(TEXT)
     assert cli.main(["--config", str(path), "--check"]) == 0
     assert "in order" in capsys.readouterr().out
+
+
+def test_a_cancellation_must_outlast_the_workers_lease() -> None:
+    """A machine cut off keeps a cancelled job's tasks until its lease ends: where that may take
+    longer than a cancellation has, the promise could not be kept."""
+    wrong = TEXT.replace("cancel_s = 42.0", "cancel_s = 23.0")
+    assert wrong != TEXT
+    with pytest.raises(settings.SettingsError, match=r"cancel_s: 23 must be more than 23\.022"):
+        settings.parse(wrong)
+    settings.parse(TEXT.replace("cancel_s = 42.0", "cancel_s = 23.1"))
