Team limits make way by priority; planned moves; whole gangs over several records; compaction

The planner now also frees the team's limit: by priority, gangs as a whole, nothing unless the job would find room, and what is freed is kept for the job. (2) What a lost replica used of its team's limit could go to an array. It is reserved at the start of a round. (3) A replica on a machine to be left was stopped before its next place was known. It now runs on until room is booked. (4) If one record of a gang's intent could not be stored, the others started or stayed booked for ever. (5) Records of rounds with a long-lived replica kept naming what had ended.

--- a/peathall/books.py
+++ b/peathall/books.py
@@ -25,7 +25,8 @@
         self.deleted: set[str] = set()
         self.types: dict[str, MachineType] = {}
         self.usage: dict[str, list[float]] = {}  # team -> cpus, gpus of all live attempts
-        self.rounds: dict[str, int] = {}  # round key -> attempts that may still exist
+        # Round key -> its attempts that may still exist, in order.
+        self.rounds: dict[str, dict[Attempt, None]] = {}
         self.next_attempt = first_attempt
         self.last_arrival = -1e9  # steady time at which the latest job became known
         self.on_round_over: Callable[[str], None] = lambda key: None
@@ -59,7 +60,7 @@
         use = self.usage.setdefault(job.spec.team, [0.0, 0.0])
         use[0] += job.spec.cpus
         use[1] += job.spec.gpus
-        self.rounds[round_key] = self.rounds.get(round_key, 0) + 1
+        self.rounds.setdefault(round_key, {})[attempt] = None
         return attempt
 
     def release(self, attempt: Attempt, now: float) -> None:
@@ -76,9 +77,8 @@
         use = self.usage[job.spec.team]
         use[0] -= job.spec.cpus
         use[1] -= job.spec.gpus
-        left = self.rounds[attempt.round] - 1
-        self.rounds[attempt.round] = left
-        if not left:
+        del self.rounds[attempt.round][attempt]
+        if not self.rounds[attempt.round]:
             del self.rounds[attempt.round]
             self.on_round_over(attempt.round)
         self.on_room()
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -16,7 +16,8 @@
 from peathall.jobs.service import NOT_NOW, Answer, Jobs
 from peathall.leadership.election import Mandate
 from peathall.leadership.lease import first_attempt
-from peathall.placement.service import ROUND, Placement
+from peathall.placement.rounds import ROUND
+from peathall.placement.service import Placement
 from peathall.settings import Operator, Settings
 from peathall.store.client import StateClient, StoreError
 from peathall.store.writer import Writer, WriterPhase
@@ -172,7 +173,7 @@
         self.jobs.load(live, done, revision)
         self.caches.load(caches)
         self.suspects.load(suspects)
-        self.placement.load(rounds, self.loop.time())
+        self.placement.rounds.load(rounds, self.loop.time())
         self.workers.took_over = self.loop.time()
 
     async def _tick(self) -> None:
@@ -180,6 +181,7 @@
             await asyncio.sleep(c.TICK_S)
             if self.may_act():
                 self.workers.tick(self.loop.time())
+                self.placement.rounds.compact(self.loop.time())
                 if self.loop.time() - self.workers.took_over > c.FORGET_CACHES_S:
                     self.caches.forget_unknown()
                 for job in list(self.books.jobs.values()):
--- /dev/null
+++ b/peathall/placement/bookings.py
@@ -0,0 +1,56 @@
+"""Room kept for replicas that are being moved, from the stop of the old one to its next start."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from peathall.jobs.model import Job
+from peathall.wire.names import JobSpec
+
+
+@dataclass(frozen=True, slots=True)
+class Booking:
+    """Room for one replica on a machine, while its old attempt is not known to be gone."""
+
+    spec: JobSpec
+    task: int
+    machine: str
+    until: float  # steady time at which it is given up
+
+
+class Bookings:
+    """All bookings of a leader. They are not stored: a new leader places the replica anew."""
+
+    def __init__(self) -> None:
+        self._bookings: list[Booking] = []
+
+    def __iter__(self) -> Iterator[Booking]:
+        return iter(self._bookings)
+
+    def add(self, booking: Booking) -> None:
+        """Keep the room from now on."""
+        self._bookings.append(booking)
+
+    def prune(self, keep: Callable[[Booking], bool]) -> None:
+        """Give up those that are used or of no use any more."""
+        if self._bookings:
+            self._bookings = [booking for booking in self._bookings if keep(booking)]
+
+    def ready(self, job: Job) -> Counter[str]:
+        """Machine -> bookings for tasks of the job whose old attempts are gone."""
+        return Counter(
+            booking.machine
+            for booking in self._bookings
+            if booking.spec.id == job.spec.id and booking.task in job.todo
+        )
+
+    def room(self) -> dict[str, list[float]]:
+        """Machine -> CPUs, GPUs and memory that are booked there."""
+        room: dict[str, list[float]] = {}
+        for booking in self._bookings:
+            spec, booked = booking.spec, room.setdefault(booking.machine, [0.0, 0.0, 0.0])
+            for kind, need in enumerate((spec.cpus, spec.gpus, spec.ram)):
+                booked[kind] += need
+        return room
--- /dev/null
+++ b/peathall/placement/limits.py
@@ -0,0 +1,62 @@
+"""What the teams use in one round of placement, and what their limits still allow."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from peathall.placement.views import EPS
+from peathall.settings import Team
+from peathall.wire.names import JobSpec
+
+
+class TeamLimits:
+    """Use of CPUs and GPUs by team, as it is and as the round's own starts change it.
+
+    Room under a limit can be reserved for a job whose turn has not come yet, or that waits for
+    stopped tasks to be gone, so that no other job of its team takes it.
+    """
+
+    def __init__(self, teams: Mapping[str, Team], usage: Mapping[str, Sequence[float]]) -> None:
+        self._teams = teams
+        self._usage = {team: [use[0], use[1]] for team, use in usage.items()}
+        self._reserved: dict[str, int] = {}  # job -> tasks
+
+    def room_for(self, spec: JobSpec, wanted: int) -> int:
+        """How many of `wanted` tasks the team's limit still allows."""
+        if spec.team not in self._teams:
+            return 0
+        for _, need, left in self._headroom(spec):
+            wanted = min(wanted, int((left + EPS) / need))
+        return max(0, wanted)
+
+    def lacking(self, spec: JobSpec, count: int) -> tuple[float, float]:
+        """CPUs and GPUs by which `count` more tasks would exceed the team's limit."""
+        lacking = [0.0, 0.0]
+        for kind, need, left in self._headroom(spec):
+            lacking[kind] = max(0.0, need * count - left - EPS)
+        return lacking[0], lacking[1]
+
+    def _headroom(self, spec: JobSpec) -> list[tuple[int, float, float]]:
+        """Of each kind that is limited and that the job uses: its index, a task's need, and
+        what is left."""
+        team = self._teams[spec.team]
+        use = self._usage.get(spec.team, (0.0, 0.0))
+        limits = ((0, spec.cpus, team.cpus_max), (1, spec.gpus, team.gpus_max))
+        return [(kind, need, most - use[kind]) for kind, need, most in limits if most and need > 0]
+
+    def use(self, spec: JobSpec, count: int) -> None:
+        """Count tasks of the job; a negative count takes them back."""
+        use = self._usage.setdefault(spec.team, [0.0, 0.0])
+        use[0] += spec.cpus * count
+        use[1] += spec.gpus * count
+
+    def reserve(self, spec: JobSpec, count: int) -> None:
+        """Keep as much of the limit for the job's next tasks as `count` of them need."""
+        count = self.room_for(spec, count)
+        if count:
+            self._reserved[spec.id] = self._reserved.get(spec.id, 0) + count
+            self.use(spec, count)
+
+    def release_reserved(self, spec: JobSpec) -> None:
+        """It is the job's own turn: what was kept for it counts as free again."""
+        self.use(spec, -self._reserved.pop(spec.id, 0))
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Sequence
-from math import inf
+from collections.abc import Callable, Iterator, Sequence
+from math import ceil, inf
 from zlib import crc32
 
 from peathall import constants as c
+from peathall.placement.limits import TeamLimits
 from peathall.placement.ordering import order, rank
+from peathall.placement.room import MachineRoom, choose, free_in, room_with_victims
 from peathall.placement.views import (
     EPS,
     Group,
     JobView,
     MachineView,
+    Move,
     Plan,
     Start,
+    TeamWork,
     Victim,
     allowed,
     fits_in,
@@ -24,6 +28,8 @@
 
 
 class Round:
+    """The decisions of one round: starts, stops, moves, and which jobs lack room."""
+
     def __init__(
         self,
         machines: list[MachineView],
@@ -32,12 +38,18 @@
         keep_ordinary: bool = False,
         shapes: Sequence[JobSpec] = (),
         lowest: int | None = None,
+        team_work: Callable[[str, int], TeamWork] = lambda team, priority: TeamWork(),
+        reserved: Sequence[tuple[JobSpec, int]] = (),
     ) -> None:
         self.keep_ordinary = keep_ordinary
         self.shapes = shapes
         self.machines = machines
-        self.teams = teams
-        self.usage = {team: list(use) for team, use in usage.items()}
+        self.by_name = {machine.name: machine for machine in machines}
+        self.limits = TeamLimits(teams, usage)
+        for spec, count in reserved:
+            self.limits.reserve(spec, count)
+        self.team_work = team_work  # of a team, what has a lower priority than the one given
+        self.stopping: dict[str, list[float]] = {}  # team -> CPUs and GPUs of this round's stops
         self.plan = Plan()
         self.stopped: set[tuple[str, int]] = set()
         if lowest is None:
@@ -55,7 +67,7 @@
 
     def run(self, jobs: list[JobView]) -> Iterator[None]:
         """Job by job, so that the caller can let others have their turn in between."""
-        waiting = [job for job in jobs if job.todo > 0]
+        waiting = [job for job in jobs if job.todo > 0 or job.moving]
         if not waiting:
             return
         if any(not job.spec.gang and not job.urgent for job in waiting):
@@ -92,29 +104,12 @@
             m for m in group.open if m.free[0] >= cpus and m.free[1] >= gpus and m.free[2] >= ram
         ]
 
-    def within_limit(self, spec: JobSpec, wanted: int) -> int:
-        """How many of the tasks the team's limit still allows."""
-        team = self.teams.get(spec.team)
-        if team is None:
-            return 0
-        use = self.usage.setdefault(spec.team, [0.0, 0.0])
-        limits = ((team.cpus_max, use[0], spec.cpus), (team.gpus_max, use[1], spec.gpus))
-        for limit, used, need in limits:
-            if limit and need > 0:
-                wanted = min(wanted, int((limit - used + EPS) / need))
-        return max(0, wanted)
-
-    def use(self, spec: JobSpec, count: int) -> None:
-        use = self.usage.setdefault(spec.team, [0.0, 0.0])
-        use[0] += spec.cpus * count
-        use[1] += spec.gpus * count
-
     def start(self, job: JobView, machine: MachineView, count: int) -> None:
         spec = job.spec
         self.plan.starts.append(Start(spec.id, machine.name, count))
         self._take(machine, spec, count)
         machine.look().pulling.add(spec.image)
-        self.use(spec, count)
+        self.limits.use(spec, count)
         job.running_zones[machine.zone] = job.running_zones.get(machine.zone, 0) + count
         job.todo -= count
 
@@ -165,36 +160,53 @@
         return found
 
     def place(self, job: JobView) -> None:
+        """Starts for the job's waiting tasks, or room made or kept for them."""
+        self.limits.release_reserved(job.spec)
+        if job.spec.gang:
+            self.place_whole(job)
+            return
+        if job.moving:
+            self.place_moves(job)
+        if job.todo:
+            self.place_independent(job)
+        if job.spec.daemon:
+            self.limits.reserve(job.spec, job.todo)
+
+    def place_whole(self, job: JobView) -> None:
+        """A gang: all of its tasks, or none."""
         spec = job.spec
-        if spec.gang:
-            if job.lingering:
-                return
-            if self.within_limit(spec, spec.tasks) < spec.tasks:
-                if job.aged:
-                    # What its team's smaller jobs give back is not for the next of them.
-                    self.use(spec, spec.tasks)
-                return
-            if self.wait_for_image(job, spec.tasks):
-                return
-            if not self.place_gang(job) and not job.probe:
-                self.make_room(job, spec.tasks)
-                self.plan.short.append((job, spec.tasks))
+        if job.lingering:
+            return
+        if self.limits.room_for(spec, spec.tasks) < spec.tasks:
+            if not self.preempt_own_team(job, spec.tasks) and job.aged:
+                # What its team's smaller jobs give back is not for the next of them.
+                self.limits.use(spec, spec.tasks)
+            return
+        if self.wait_for_image(job, spec.tasks):
             return
-        wanted = self.within_limit(spec, job.todo)
+        if not self.place_gang(job) and not job.probe:
+            self.make_room(job, spec.tasks)
+            self.plan.short.append((job, spec.tasks))
+
+    def place_independent(self, job: JobView) -> None:
+        """Tasks of an array, or replicas: as many as room and limit allow."""
+        wanted = self.limits.room_for(job.spec, job.todo)
+        over_limit = job.todo - wanted
         if wanted and self.wait_for_image(job, wanted):
             return
         left = self.place_tasks(job, wanted)
         if left > 0 and not job.probe:
             self.make_room(job, left)
             self.plan.short.append((job, left))
+        elif over_limit and not job.probe:
+            self.preempt_own_team(job, over_limit)
 
     def place_tasks(self, job: JobView, wanted: int) -> int:
         """Independent tasks: as many as there is room for. Returns how many lack room."""
-        spec = job.spec
+        wanted -= self.start_on_bookings(job, wanted)
         if wanted <= 0:
             return wanted
-        cap = (spec.tasks + 1) // 2
-        home = next(iter(job.running_zones), None) if spec.one_zone else None
+        spec = job.spec
         found = self.candidates(job)
         most = [spec.tasks] * len(found)
         if spec.daemon:
@@ -205,20 +217,55 @@
         for machine, at_most in zip(found, most, strict=True):
             if wanted <= 0:
                 break
-            if home is not None and machine.zone != home:
-                continue
             count = min(machine.fits(spec), wanted, at_most)
             if not job.urgent:
                 count = self.sparing(machine, spec, count)
-            if spec.spread:
-                count = min(count, cap - job.running_zones.get(machine.zone, 0))
+            count = min(count, zone_allowance(job, machine.zone))
             if count > 0:
-                if spec.one_zone:
-                    home = machine.zone
                 self.start(job, machine, count)
                 wanted -= count
         return wanted
 
+    # --- planned moves -------------------------------------------------------
+    def start_on_bookings(self, job: JobView, wanted: int) -> int:
+        """Replicas that were stopped for a move go to the room booked for them."""
+        started = 0
+        for name, booked in job.bookings.items():
+            machine = self.by_name.get(name)
+            if machine is None:
+                continue
+            machine.take(job.spec, -booked)
+            allowance = zone_allowance(job, machine.zone)
+            count = min(booked, machine.fits(job.spec), wanted - started, allowance)
+            if count > 0:
+                self.start(job, machine, count)
+                started += count
+        return started
+
+    def place_moves(self, job: JobView) -> None:
+        """Book room for replicas whose machines are to be left. Each runs on until then."""
+        spec = job.spec
+        found = self.candidates(job)
+        found.sort(key=lambda machine: machine.name in job.hosts)
+        waiting = 0
+        for replica in job.moving:
+            job.running_zones[replica.zone] = job.running_zones.get(replica.zone, 1) - 1
+            target = next(
+                (m for m in found if m.fits(spec) and zone_allowance(job, m.zone) > 0), None
+            )
+            if target is None:
+                job.running_zones[replica.zone] += 1
+                waiting += 1
+                continue
+            self._take(target, spec, 1)
+            job.running_zones[target.zone] = job.running_zones.get(target.zone, 0) + 1
+            job.hosts = {*job.hosts, target.name}
+            found.sort(key=lambda machine: machine.name in job.hosts)
+            self.plan.moves.append(Move(spec.id, replica.task, target.name))
+        if waiting:
+            self.make_room(job, waiting)
+            self.plan.short.append((job, waiting))
+
     def sparing(self, machine: MachineView, spec: JobSpec, count: int) -> int:
         """As many tasks as leave room for the next gang of each class, somewhere: for all of
         a gang that could not stop these tasks, for one task of any other."""
@@ -279,6 +326,80 @@
             return False
         return self.make_room(job, wanted, cached)
 
+    def preempt_own_team(self, job: JobView, wanted: int) -> bool:
+        """The team's limit is in the way: stop work of lower priority of the same team.
+
+        Whatever is stopped uses the limit until it is proven gone, so the job starts in a later
+        round; until then the limit is kept for it. Nothing is stopped unless the job would
+        find room. Returns whether room under the limit is on its way.
+        """
+        spec = job.spec
+        if job.probe or not (job.urgent or job.covered):
+            return False
+        work = self.team_work(spec.team, spec.priority)
+        count, victims = self._fit_limit(spec, wanted, work)
+        if not count:
+            return False
+        room = self._find_room(job, count)
+        if sum(found.count for found in room or ()) < (count if spec.gang else 1):
+            self.plan.short.append((job, count))  # rented first, and nothing stopped before
+            return False
+        for victim in victims:
+            self._stop(victim)
+        self.make_room(job, count)
+        self.limits.use(spec, count)
+        return True
+
+    def _fit_limit(self, spec: JobSpec, wanted: int, work: TeamWork) -> tuple[int, list[Victim]]:
+        """For how many of the tasks the limit has room once the victims are gone: those that
+        matter least, and no more of them than are needed. A gang needs room for all tasks."""
+        gone = [a + b for a, b in zip(work.leaving, self._stops_of(spec.team), strict=True)]
+        units = [
+            unit
+            for unit in work.stoppable
+            if all(v.key not in self.stopped and v.machine in self.by_name for v in unit)
+        ]
+        units.sort(key=lambda unit: (-unit[0].priority, sum(v.lost for v in unit), unit[0].key))
+        chosen: list[Sequence[Victim]] = []
+        count = self._fits_after(spec, wanted, gone)
+        for unit in units:
+            if count >= wanted:
+                break
+            gone = [gone[0] + sum(v.cpus for v in unit), gone[1] + sum(v.gpus for v in unit)]
+            chosen.append(unit)
+            count = self._fits_after(spec, wanted, gone)
+        if spec.gang and count < wanted:
+            return 0, []
+        for unit in chosen[::-1]:  # what was no help after all, the dearest first
+            without = [gone[0] - sum(v.cpus for v in unit), gone[1] - sum(v.gpus for v in unit)]
+            if self._fits_after(spec, wanted, without) >= count:
+                gone = without
+                chosen.remove(unit)
+        return count, [victim for unit in chosen for victim in unit]
+
+    def _stops_of(self, team: str) -> list[float]:
+        return self.stopping.get(team, [0.0, 0.0])
+
+    def _fits_after(self, spec: JobSpec, wanted: int, gone: Sequence[float]) -> int:
+        """How many of the tasks fit under the limit once so many CPUs and GPUs are given back."""
+        cpus, gpus = self.limits.lacking(spec, wanted)
+        missing = 0
+        for lacking, back, need in ((cpus, gone[0], spec.cpus), (gpus, gone[1], spec.gpus)):
+            if lacking > back + EPS:
+                missing = max(missing, ceil((lacking - back - EPS) / need))
+        return max(0, wanted - missing)
+
+    def _stop(self, victim: Victim) -> None:
+        """Once a round; its room counts as being freed, on its machine and under the limit."""
+        if victim.key in self.stopped:
+            return
+        self.stopped.add(victim.key)
+        self.plan.stops.append(victim.key)
+        stops = self.stopping.setdefault(victim.team, [0.0, 0.0])
+        stops[0] += victim.cpus
+        stops[1] += victim.gpus
+        self.by_name[victim.machine].look().free_soon(victim)
+
     def make_room(self, job: JobView, wanted: int, only: list[MachineView] | None = None) -> bool:
         """Claim room that is or becomes free, and stop others where the rules allow it.
 
@@ -290,43 +411,45 @@
             return False  # nobody may be stopped, and independent tasks need no room together
         if not job.urgent and not job.covered:
             return False
-        best: list[tuple[MachineView, int, list[Victim]]] | None = None
+        best = self._find_room(job, wanted, only)
+        if best is None and spec.gang and only is None:
+            self.keep_machines(job)
+        for found in best or ():
+            for victim in found.victims:
+                self._stop(victim)
+            self.claim(found.machine, spec, found.count)
+        return best is not None and sum(found.count for found in best) >= wanted
+
+    def _find_room(
+        self, job: JobView, wanted: int, only: list[MachineView] | None = None
+    ) -> list[MachineRoom] | None:
+        """Where the tasks would fit, at the least cost to those that would be stopped."""
+        spec = job.spec
+        best: list[MachineRoom] | None = None
         best_cost = 0.0
         for zone in self.zones(spec):
             options = []
             for machine in self.usable(job, zone) if only is None else only:
                 if zone is not None and machine.zone != zone:
                     continue
-                count, victims, cost = self.room_with_victims(machine, job, wanted)
-                if count:
+                found = room_with_victims(machine, spec, wanted, lambda v: self.may_stop(v, job))
+                if found.count:
                     scarce = (machine.gpus, self.keep_ordinary and not machine.spot)
-                    options.append((scarce, cost / count, machine.name, machine, count, victims))
-            options.sort(key=lambda x: x[:3])
-            chosen: list[tuple[MachineView, int, list[Victim]]] = []
+                    options.append((scarce, found.cost / found.count, machine.name, found))
+            options.sort(key=lambda option: option[:3])
+            chosen: list[MachineRoom] = []
             left, total = wanted, 0.0
-            for _, cost, _, machine, count, victims in options:
+            for _, cost, _, found in options:
                 if left <= 0:
                     break
-                chosen.append((machine, min(count, left), victims))
-                left -= count
+                chosen.append(found.at_most(left))
+                left -= found.count
                 total += cost
             if left > 0 and spec.gang:
                 continue
             if chosen and (best is None or total < best_cost):
                 best, best_cost = chosen, total
-        if best is None and spec.gang and only is None:
-            self.keep_machines(job)
-        for machine, count, victims in best or ():
-            coming = machine.look().coming
-            for victim in victims:
-                if victim.key not in self.stopped:
-                    self.stopped.add(victim.key)
-                    self.plan.stops.append(victim.key)
-                coming[0] += victim.cpus
-                coming[1] += victim.gpus
-                coming[2] += victim.ram
-            self.claim(machine, spec, count)
-        return best is not None and sum(count for _, count, _ in best) >= wanted
+        return best
 
     def keep_machines(self, job: JobView) -> None:
         """Nothing may be stopped: let the machines that are free soonest run empty."""
@@ -351,36 +474,6 @@
             assert best is not None
             machine.kept_for = best[-1][0]
 
-    def room_with_victims(
-        self, machine: MachineView, job: JobView, wanted: int
-    ) -> tuple[int, list[Victim], float]:
-        spec = job.spec
-        room = machine.room()
-        count = min(fits_in(room, spec), wanted)
-        victims: list[Victim] = []
-        cost = 0.0
-        if count >= wanted:
-            return count, victims, cost
-        picked: list[Victim] = []
-        for victim in machine.look().victims:
-            if not self.may_stop(victim, job):
-                continue
-            helps = (victim.cpus and spec.cpus) or (victim.gpus and spec.gpus) or victim.ram
-            if not helps:
-                continue
-            room[0] += victim.cpus
-            room[1] += victim.gpus
-            room[2] += victim.ram
-            picked.append(victim)
-            now_fits = min(fits_in(room, spec), wanted)
-            if now_fits > count:
-                count = now_fits
-                victims = list(picked)
-                cost = sum(v.lost for v in victims)
-                if count >= wanted:
-                    break
-        return count, victims, cost
-
     def claim(self, machine: MachineView, spec: JobSpec, count: int) -> None:
         coming = machine.look().coming
         for i, need in enumerate((spec.cpus * count, spec.gpus * count, spec.ram * count)):
@@ -389,37 +482,17 @@
             machine.free[i] -= need - from_coming
 
 
-def free_in(machine: MachineView, spec: JobSpec) -> tuple[float, int]:
-    """After how many seconds a task of the job fits, if nothing new is placed here."""
-    room = machine.room()
-    wait = 0.0
-    for victim in machine.look().by_end:
-        if fits_in(room, spec):
-            break
-        room[0] += victim.cpus
-        room[1] += victim.gpus
-        room[2] += victim.ram
-        wait = victim.ends
-    return wait, min(spec.tasks, fits_in(room, spec))
-
-
-def choose(spec: JobSpec, machines: list[MachineView]) -> list[tuple[MachineView, int]] | None:
-    """Room for all tasks of a gang, on machines in order of preference; None if too little."""
-    cap = (spec.tasks + 1) // 2
-    per_zone: dict[str, int] = {}
-    left = spec.tasks
-    chosen = []
-    for machine in machines:
-        count = min(machine.fits(spec), left)
-        if spec.spread:
-            count = min(count, cap - per_zone.get(machine.zone, 0))
-        if count > 0:
-            chosen.append((machine, count))
-            per_zone[machine.zone] = per_zone.get(machine.zone, 0) + count
-            left -= count
-        if left == 0:
-            return chosen
-    return None
+def zone_allowance(job: JobView, zone: str) -> int:
+    """How many more of the job's tasks its own rules allow in that zone."""
+    spec = job.spec
+    if not (spec.one_zone or spec.spread):
+        return spec.tasks
+    used = {name: count for name, count in job.running_zones.items() if count > 0}
+    if spec.one_zone and used and zone not in used:
+        return 0
+    if spec.spread:
+        return (spec.tasks + 1) // 2 - used.get(zone, 0)
+    return spec.tasks
 
 
 def make_plan(
--- /dev/null
+++ b/peathall/placement/rounds.py
@@ -0,0 +1,217 @@
+"""Records of rounds: the intent that is stored before any start goes out.
+
+    round/TERM-N   {"a": [[job, attempt number, machine, task ranges], ...]}
+
+A record stays until none of its attempts can exist any more. One that outlives most of what it
+names is written anew with the rest, so that what is stored is bounded by what runs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from functools import partial
+from itertools import groupby
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from peathall import constants as c
+from peathall.books import Books
+from peathall.jobs.model import Attempt, AttemptPhase
+from peathall.jobs.ranges import Ranges
+from peathall.placement.views import Start
+from peathall.store.client import Item, Put
+from peathall.store.writer import Change, Writer
+from peathall.wire.body import json_size
+from peathall.workers.model import MachinePhase
+
+ROUND = "round/"
+
+
+class RoundEntry(Struct, array_like=True, frozen=True):
+    """Some tasks of a job that one machine is to start; stored as a list, by position."""
+
+    job: str
+    attempt: int
+    machine: str
+    tasks: list[list[int]]
+
+
+def to_record(entries: Iterable[RoundEntry]) -> dict[str, Any]:
+    """The value under which the entries are stored."""
+    return {"a": msgspec.to_builtins(list(entries))}
+
+
+def from_record(value: dict[str, Any]) -> list[RoundEntry]:
+    """The entries of a stored value."""
+    return msgspec.convert(value["a"], list[RoundEntry])
+
+
+def split_entries(entries: list[RoundEntry], limit: int) -> list[list[RoundEntry]]:
+    """Cut a round's entries into pieces that fit into one value each, between two jobs where one
+    job's entries fit into a value: the intent of a gang is one step."""
+    pieces: list[list[RoundEntry]] = [[]]
+    size = json_size(to_record([]))
+    empty = size
+    for _, group in groupby(entries, key=lambda entry: entry.job):
+        job = list(group)
+        sizes = [json_size(msgspec.to_builtins(entry)) + 1 for entry in job]
+        whole = sum(sizes)
+        if pieces[-1] and size + whole > limit and empty + whole <= limit:
+            pieces.append([])
+            size = empty
+        for entry, need in zip(job, sizes, strict=True):
+            if pieces[-1] and size + need > limit:
+                pieces.append([])
+                size = empty
+            pieces[-1].append(entry)
+            size += need
+    return [piece for piece in pieces if piece]
+
+
+@dataclass(slots=True)
+class Piece:
+    """One record of a round: the attempts that it names, and when it is stored."""
+
+    key: str
+    attempts: list[Attempt]
+    stored: asyncio.Future[int]
+
+    def shares_gang_with(self, later: Piece) -> bool:
+        """Whether a gang that one value can't hold goes on in the later piece."""
+        last = self.attempts[-1].job
+        return last.spec.gang and later.attempts[0].job is last
+
+
+def joined_by_gangs(pieces: list[Piece]) -> Iterator[list[Piece]]:
+    """Pieces in order, those together that share a gang: it starts once all of them stand."""
+    joined: list[Piece] = []
+    for piece in pieces:
+        if joined and not joined[-1].shares_gang_with(piece):
+            yield joined
+            joined = []
+        joined.append(piece)
+    if joined:
+        yield joined
+
+
+@dataclass(slots=True)
+class RecordSize:
+    """How many attempts a stored record names, and since when it stands as it is."""
+
+    attempts: int
+    since: float
+
+
+class RoundRecords:
+    """Writes, reads, compacts and drops the records of rounds."""
+
+    def __init__(self, books: Books, writer: Writer) -> None:
+        self.books = books
+        self.writer = writer
+        self._number = 0
+        self._sizes: dict[str, RecordSize] = {}
+        books.on_round_over = self.drop
+
+    def load(self, items: list[Item], now: float) -> None:
+        """After a take-over: book all attempts that may still exist."""
+        for item in items:
+            self.writer.versions[item.key] = item.version
+            entries = from_record(item.value)
+            named = sum(high - low for entry in entries for low, high in entry.tasks)
+            self._sizes[item.key] = RecordSize(named, now)
+            for entry in entries:
+                self._adopt(entry, item.key, now)
+        for item in items:
+            if item.key not in self.books.rounds:
+                self.drop(item.key)
+
+    def _adopt(self, entry: RoundEntry, key: str, now: float) -> None:
+        job = self.books.jobs.get(entry.job)
+        if job is None:
+            return  # archived, which is done only after all its attempts were gone
+        machine = self.books.machine(entry.machine, "", "", False, MachinePhase.UNHEARD, now)
+        for task in Ranges(entry.tasks):
+            if task in job.done:
+                continue  # it has exited, and is never started again
+            if task in job.attempts:
+                # An older round still holds it: the later attempt was made after the earlier
+                # one was surely gone.
+                if job.attempts[task].number >= entry.attempt:
+                    continue
+                self.books.release(job.attempts[task], now)
+            attempt = self.books.book(job, task, entry.attempt, machine, key)
+            attempt.enter(AttemptPhase.SENT, now)
+
+    def write(self, starts: list[Start], now: float) -> list[Piece]:
+        """Book the room of the starts and hand their records to the writer."""
+        pieces = []
+        for entries in split_entries(self._entries(starts), self.writer.value_limit):
+            self._number += 1
+            key = f"{ROUND}{self.books.term:08d}-{self._number:07d}"
+            attempts = [attempt for entry in entries for attempt in self._book(entry, key)]
+            self._sizes[key] = RecordSize(len(attempts), now)
+            stored = self.writer.submit([Put(key, to_record(entries))])
+            pieces.append(Piece(key, attempts, stored))
+        return pieces
+
+    def _entries(self, starts: list[Start]) -> list[RoundEntry]:
+        entries = []
+        for job_id, group in groupby(starts, key=lambda start: start.job):
+            waiting = iter(self.books.jobs[job_id].todo)
+            number = self.books.new_attempt_number()
+            for start in group:
+                tasks = Ranges()
+                for _ in range(start.count):
+                    tasks.add(next(waiting))
+                entries.append(RoundEntry(job_id, number, start.machine, tasks.to_record()))
+        return entries
+
+    def _book(self, entry: RoundEntry, key: str) -> list[Attempt]:
+        job, machine = self.books.jobs[entry.job], self.books.machines[entry.machine]
+        return [
+            self.books.book(job, task, entry.attempt, machine, key) for task in Ranges(entry.tasks)
+        ]
+
+    def drop(self, key: str) -> None:
+        """None of its attempts can exist any more."""
+        self._sizes.pop(key, None)
+        if key in self.writer.versions:
+            self.writer.offer_drop(key)
+
+    def compact(self, now: float) -> None:
+        """Offer to write records anew that have long named many more attempts than may exist."""
+        for key, attempts in self.books.rounds.items():
+            size = self._sizes.get(key)
+            if (
+                size is not None
+                and now - size.since > c.ROUND_COMPACT_S
+                and size.attempts >= c.ROUND_COMPACT_FACTOR * len(attempts)
+            ):
+                self.writer.offer(f"compact {key}", partial(self._compacted, key, now))
+
+    def _compacted(self, key: str, now: float) -> Change | None:
+        attempts = list(self.books.rounds.get(key, ()))
+        if not attempts or key not in self.writer.versions:
+            return None
+        # Conditional on the record as it is now: once dropped, it must not be created anew.
+        unchanged = {key: self.writer.versions[key]}
+        change = Change(unchanged, [Put(key, to_record(live_entries(attempts)))])
+
+        def stored() -> None:
+            if key in self._sizes:
+                self._sizes[key] = RecordSize(len(attempts), now)
+
+        return change.then(stored)
+
+
+def live_entries(attempts: list[Attempt]) -> list[RoundEntry]:
+    """Entries that name just these attempts."""
+    tasks: dict[tuple[str, int, str], Ranges] = {}
+    for attempt in attempts:
+        place = (attempt.job.spec.id, attempt.number, attempt.machine)
+        tasks.setdefault(place, Ranges()).add(attempt.task)
+    return [RoundEntry(*place, ranges.to_record()) for place, ranges in tasks.items()]
--- /dev/null
+++ b/peathall/placement/snapshot.py
@@ -0,0 +1,277 @@
+"""Views of jobs, machines and attempts, as they are when a round of placement begins."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from peathall import constants as c
+from peathall.books import Books
+from peathall.jobs.model import Attempt, Job, JobPhase, Trust
+from peathall.placement.bookings import Bookings
+from peathall.placement.ordering import gathering_s, latest_start
+from peathall.placement.views import (
+    Detail,
+    JobView,
+    MachineView,
+    MovingReplica,
+    TeamWork,
+    Victim,
+)
+from peathall.settings import Params
+from peathall.wire.names import JobSpec
+from peathall.workers.model import Machine, MachinePhase
+from peathall.workers.service import Workers
+
+
+class Snapshot:
+    """What a round decides on. Machines' details are looked up during the round, when needed."""
+
+    def __init__(self, books: Books, params: Params, workers: Workers, bookings: Bookings) -> None:
+        self.books = books
+        self.params = params
+        self.workers = workers
+        self.bookings = bookings
+        self.teams = {team.name: team for team in params.teams}
+        self.wall = self.now = 0.0
+        self.covered: set[str] = set()  # jobs within their teams' guarantees
+        self.shapes: dict[str, JobSpec] = {}  # by class, see gang_shapes()
+
+    def begin(self, wall: float, now: float) -> None:
+        """The round that begins at this time of day and steady time."""
+        self.wall, self.now = wall, now
+        self.covered = self._within_guarantee()
+
+    def active(self) -> list[Job]:
+        """Jobs with work left."""
+        return [job for job in self.books.jobs.values() if job.phase is JobPhase.ACTIVE]
+
+    def jobs(self) -> list[JobView]:
+        """Those of which a task may start or a replica is to move."""
+        views = []
+        for job in self.active():
+            todo, moving = self._may_start(job, self.now), self._moving(job)
+            if (todo or moving) and not self._zone_unknown(job):
+                views.append(self._job_view(job, todo, moving))
+        return views
+
+    def machines(self) -> list[MachineView]:
+        """Those that take new work."""
+        booked = self.bookings.room()
+        return [
+            self._machine_view(machine, booked.get(machine.name))
+            for machine in self.books.machines.values()
+            if self.usable(machine, self.now)
+        ]
+
+    def usable(self, machine: Machine, now: float) -> bool:
+        """Whether it takes new work: it hears us, and we have heard it lately."""
+        silent = self.workers.silence(machine, now)
+        return machine.usable and machine.cpus > 0 and silent < self.workers.suspect_s()
+
+    def gang_shapes(self) -> list[JobSpec]:
+        """The largest gang of each class that came lately."""
+        gangs = [job.spec for job in self.books.jobs.values() if job.spec.gang]
+        lately = [
+            spec
+            for spec in [*self.shapes.values(), *gangs]
+            if self.wall - spec.submitted < c.SHAPE_MEMORY_S
+        ]
+        self.shapes = {}
+        for spec in lately:
+            known = self.shapes.get(spec.class_name)
+            if known is None or (spec.tasks, spec.submitted) >= (known.tasks, known.submitted):
+                self.shapes[spec.class_name] = spec
+        return list(self.shapes.values())
+
+    def _within_guarantee(self) -> set[str]:
+        """Jobs that fit into their team's guarantee with the team's earlier unfinished ones."""
+        sums: dict[str, list[float]] = {}
+        covered = set()
+        # What may be mistaken takes its team's guarantee from no other job.
+        active = [job for job in self.active() if job.trust is not Trust.SUSPECT]
+        for job in sorted(active, key=lambda j: j.spec.submitted):
+            team = self.teams.get(job.spec.team)
+            if team is None or not (team.cpus or team.gpus):
+                continue
+            use = sums.setdefault(team.name, [0.0, 0.0])
+            left = job.spec.tasks - len(job.done)
+            use[0] += job.spec.cpus * left
+            use[1] += job.spec.gpus * left
+            asks = (team.gpus and job.spec.gpus) or (team.cpus and job.spec.cpus)
+            if (
+                asks
+                and (not team.cpus or use[0] <= team.cpus)
+                and (not team.gpus or use[1] <= team.gpus)
+            ):
+                covered.add(job.spec.id)
+        return covered
+
+    def _zone_unknown(self, job: Job) -> bool:
+        """Whether its other tasks decide where the next may go, and one of them is on a machine
+        whose zone is not known: known from records only, neither heard nor listed yet."""
+        if not (job.spec.one_zone or job.spec.spread):
+            return False
+        return any(not self.books.machines[a.machine].zone for a in job.attempts.values())
+
+    @staticmethod
+    def _may_start(job: Job, now: float) -> int:
+        """How many tasks may start now: of a job that may be mistaken, one probe at a time."""
+        if now < job.backoff_until:
+            return 0
+        if job.trust is not Trust.SUSPECT:
+            return len(job.todo)
+        return 0 if job.attempts or not job.todo else job.spec.tasks if job.spec.gang else 1
+
+    def _moving(self, job: Job) -> list[MovingReplica]:
+        """Replicas on machines that are to be left: they would never end by themselves."""
+        if not job.spec.daemon:
+            return []
+        found = []
+        for attempt in job.attempts.values():
+            machine = self.books.machines[attempt.machine]
+            if machine.phase is MachinePhase.DRAINING and not attempt.stopping:
+                found.append(MovingReplica(attempt.task, machine.zone))
+        return found
+
+    def lost_replicas(self) -> list[tuple[JobSpec, int]]:
+        """Of each job that has served before, how many replicas are missing."""
+        return [
+            (job.spec, len(job.todo))
+            for job in self.active()
+            if job.spec.daemon
+            and job.todo
+            and (job.began or job.attempts)
+            and job.trust is not Trust.SUSPECT
+        ]
+
+    def _job_view(self, job: Job, todo: int, moving: list[MovingReplica]) -> JobView:
+        zones: dict[str, int] = {}
+        if job.spec.one_zone or job.spec.spread:
+            for attempt in job.attempts.values():
+                zone = self.books.machines[attempt.machine].zone
+                zones[zone] = zones.get(zone, 0) + 1
+        hosts = {a.machine for a in job.attempts.values()} if job.spec.daemon else ()
+        avoid = self.workers.blame.avoid(job)
+        if job.trust is Trust.SUSPECT:
+            # A probe, in room that nobody else wants: whether it goes well is soon known.
+            last = self.wall + c.PROBE_LATER_S
+            return JobView(
+                job.spec,
+                todo,
+                False,
+                last,
+                zones,
+                urgent=False,
+                avoid=avoid,
+                probe=True,
+                hosts=hosts,
+                moving=moving,
+            )
+        latest = latest_start(job.spec, self.params.objectives, self.wall, 0.0)
+        aged = not job.attempts and self.has_aged(job, self.now)
+        return JobView(
+            job.spec,
+            todo,
+            job.spec.id in self.covered,
+            latest,
+            zones,
+            lingering=job.spec.gang and bool(job.attempts),
+            urgent=aged or job.spec.daemon or latest - self.wall < c.URGENT_S,
+            aged=aged,
+            hosts=hosts,
+            moving=moving,
+            bookings=self.bookings.ready(job) if job.spec.daemon else None,
+            avoid=avoid,
+            fetch_s=self._fetch_s(job.spec),
+        )
+
+    @staticmethod
+    def has_aged(job: Job, now: float) -> bool:
+        return now - job.idle_since > c.AGED_S - gathering_s(job.spec)
+
+    def _fetch_s(self, spec: JobSpec) -> float:
+        kinds = self.books.types.values()
+        rates = [k.fetch_gb_per_s for k in kinds if spec.types is None or k.name in spec.types]
+        return spec.image_gb / min(rates, default=1.0)
+
+    def _machine_view(self, machine: Machine, booked: list[float] | None) -> MachineView:
+        free = (machine.free_cpus, machine.free_gpus, machine.free_ram)
+        if booked is not None:
+            free = (free[0] - booked[0], free[1] - booked[1], free[2] - booked[2])
+        report_s = self.params.workers.report_s * 1.25  # reports come up to a quarter late
+        return MachineView(
+            machine.name,
+            machine.type,
+            machine.zone,
+            machine.spot,
+            (machine.cpus, machine.gpus, machine.ram),
+            free,
+            machine.images,
+            int(self.workers.silence(machine, self.now) / report_s),
+            lambda: self._detail(machine),
+            max(0, c.MACHINE_TASKS - self.workers.in_reports(machine)),
+        )
+
+    def _detail(self, machine: Machine) -> Detail:
+        cpus = gpus = ram = 0.0
+        for attempt in machine.attempts.values():
+            if attempt.leaving:
+                spec = attempt.job.spec
+                cpus, gpus, ram = cpus + spec.cpus, gpus + spec.gpus, ram + spec.ram
+        return Detail(machine.fetching(), (cpus, gpus, ram), self.victims(machine, self.now))
+
+    def victims(self, machine: Machine, now: float) -> Iterator[Victim]:
+        """What on the machine could be stopped."""
+        for attempt in machine.attempts.values():
+            victim = self._victim(attempt, machine, now)
+            if victim is not None:
+                yield victim
+
+    def _victim(self, attempt: Attempt, machine: Machine, now: float) -> Victim | None:
+        """The attempt as one that could be stopped, unless it is to be left alone."""
+        if attempt.leaving:
+            return None
+        spec = attempt.job.spec
+        ran = now - attempt.since if attempt.running else 0.0
+        if attempt.job.late and ran < c.SETTLED_S:
+            return None  # it has waited so long that its start shall count
+        lost = spec.save_s if spec.checkpoint_s else ran
+        if ran < c.SETTLED_S:
+            lost += c.SETTLED_S  # its start would not count any more
+        share = max(spec.cpus / machine.cpus, spec.gpus / max(machine.gpus, 1.0))
+        return Victim(
+            (spec.id, attempt.task),
+            (spec.cpus, spec.gpus, spec.ram),
+            spec.priority,
+            spec.team,
+            spec.id in self.covered,
+            (lost + c.RESTART_S) * share,
+            max(1.0, spec.expected_s - ran),
+            machine=machine.name,
+        )
+
+    def team_work(self, team: str, priority: int) -> TeamWork:
+        """What of the team is being stopped, and what else a job of that priority may stop."""
+        cpus = gpus = 0.0
+        units: list[list[Victim]] = []
+        for job in self.books.jobs.values():
+            spec = job.spec
+            if spec.team != team or not job.attempts:
+                continue
+            leaving = sum(1 for attempt in job.attempts.values() if attempt.leaving)
+            cpus, gpus = cpus + spec.cpus * leaving, gpus + spec.gpus * leaving
+            if spec.priority > priority and leaving < len(job.attempts):
+                units += self._stopped_together(job)
+        return TeamWork((cpus, gpus), units)
+
+    def _stopped_together(self, job: Job) -> list[list[Victim]]:
+        """Each task of an array by itself; a gang as a whole, if none of it is to be left alone."""
+        victims = []
+        for attempt in job.attempts.values():
+            machine = self.books.machines[attempt.machine]
+            victim = self._victim(attempt, machine, self.now) if machine.cpus else None
+            if victim is not None:
+                victims.append(victim)
+        if not job.spec.gang:
+            return [[victim] for victim in victims]
+        return [victims] if len(victims) == len(job.attempts) else []
--- a/peathall/placement/views.py
+++ b/peathall/placement/views.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container, Iterable, Sequence
+from collections.abc import Callable, Collection, Container, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
 from peathall import constants as c
 from peathall.wire.names import JobSpec
@@ -20,6 +21,7 @@
         "guaranteed",
         "key",
         "lost",
+        "machine",
         "priority",
         "ram",
         "team",
@@ -34,8 +36,11 @@
         guaranteed: bool,
         lost: float,
         ends: float = 0.0,
+        *,
+        machine: str,
     ) -> None:
         self.key = key
+        self.machine = machine
         self.cpus, self.gpus, self.ram = need
         self.priority = priority
         self.team = team
@@ -61,6 +66,11 @@
         self._sorted: list[Victim] | None = None
         self._by_end: list[Victim] | None = None
 
+    def free_soon(self, victim: Victim) -> None:
+        """The victim is to be stopped: its room is on its way."""
+        for kind, amount in enumerate((victim.cpus, victim.gpus, victim.ram)):
+            self.coming[kind] += amount
+
     @property
     def victims(self) -> list[Victim]:
         """In the order in which they would be stopped."""
@@ -154,15 +164,42 @@
         self.open: list[MachineView] = []  # with room for the smallest task that waits
 
 
+@dataclass(frozen=True, slots=True)
+class MovingReplica:
+    """A replica that runs on a machine which is to be left."""
+
+    task: int
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """A replica is to be stopped, since room is booked for it on another machine."""
+
+    job: str
+    task: int
+    machine: str
+
+
+@dataclass(frozen=True, slots=True)
+class TeamWork:
+    """What of a team's work may be stopped for its own work of higher priority."""
+
+    leaving: tuple[float, float] = (0.0, 0.0)  # CPUs and GPUs of what is being stopped already
+    stoppable: Sequence[Sequence[Victim]] = ()  # each inner sequence is stopped as a whole
+
+
 class JobView:
     __slots__ = (
         "aged",
         "avoid",
+        "bookings",
         "covered",
         "fetch_s",
         "hosts",
         "latest_start",
         "lingering",
+        "moving",
         "probe",
         "running_zones",
         "spec",
@@ -184,7 +221,9 @@
         fetch_s: float = 0.0,
         aged: bool = False,
         probe: bool = False,
-        hosts: Container[str] = (),
+        hosts: Collection[str] = (),
+        moving: Sequence[MovingReplica] = (),
+        bookings: Mapping[str, int] | None = None,
     ) -> None:
         self.spec = spec
         self.todo = todo
@@ -196,6 +235,8 @@
         self.urgent = urgent  # an aim is lost unless it starts soon: worth stopping others
         self.aged = aged  # has waited so long that nothing may go before it any more
         self.hosts = hosts  # machines that have replicas of it already
+        self.moving = moving  # replicas whose machines are to be left
+        self.bookings = bookings or {}  # machine -> tasks in `todo` with room booked there
         self.probe = probe  # of a job that may be mistaken: nobody makes room for it
         self.lingering = lingering  # a gang with attempts that are not gone yet
 
@@ -221,6 +262,7 @@
     def __init__(self) -> None:
         self.starts: list[Start] = []
         self.stops: list[tuple[str, int]] = []  # (job, task) to be stopped with time to save
+        self.moves: list[Move] = []
         self.short: list[tuple[JobView, int]] = []  # jobs that lack room, and for how many tasks
         self.leftover: dict[str, list[float]] = {}  # room left on each machine
 
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -331,10 +331,6 @@
         if machine.enter(MachinePhase.DRAINING):
             machine.why_draining = why
             log.info("machine %s is emptied: %s", machine.name, why)
-            now = self.loop.time()
-            for attempt in list(machine.attempts.values()):
-                if attempt.job.spec.daemon:  # it would never end by itself
-                    self.stop(attempt, 0.0, now)
             self.on_change()
 
     def _absent(self, machine: Machine, attempt: Attempt, seen_token: int, now: float) -> None:
