--- a/tests/sim/state.py
+++ b/tests/sim/state.py
@@ -25,6 +25,8 @@
         self.copies = 0.0  # share of requests of which a late copy is carried out once more
         self.value_kb, self.txn_ops = 8.0, 12
         self.on_invalid: Callable[[str], None] = lambda what: None
+        # Called with each transaction before it is carried out; its answer is lost if it says so.
+        self.on_commit: Callable[[dict[str, Any]], bool] = lambda raw: False
         self.limits: tuple[float, float] = (1e9, 1e9)  # requests and changes a second
         self.spent = [0.0, 0.0]
         self.spent_at = 0.0
@@ -144,6 +146,9 @@
             delay = 0.5 + 30 * self.loop.rng.random()
             self.loop.call_later(delay, self.again, request.method, path, raw)
         if path == "/commit":
+            if self.on_commit(raw):
+                self.commit(raw)
+                await asyncio.sleep(3600)
             drawn = self.loop.rng.random() if self.late + self.lost else 1.0
             if drawn < self.late + self.lost:
                 if drawn < self.late:
