Silent machines with replicas are probed; a machine takes few replicas of different jobs

Now a machine with replicas that misses a report is asked directly, twice; without an answer it is deleted, if nearly all others are heard and it reports nowhere else. The cloud's answer proves the absence, as before. Replicas come to machines with fewer than four others.

--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -53,6 +53,12 @@
 SUSPECT_REPORTS = 3.0  # missed report intervals; no new work goes to such a machine (DESIGN)
 SUSPECT_LEASE = 0.5  # of the lease, if that is less: reports may be long apart
 STALL_S = 3.0  # s; ticks further apart than this mean that we could not attend to anyone
+PROBE_REPORTS = 1.4  # report intervals, which vary by a quarter: a machine with replicas that is
+# silent for longer has missed a report, and is asked whether it is there
+PROBE_TRIES = 2  # probes without an answer, one after the other: then it is not waited for
+PROBE_TIMEOUT_S = 1.0  # s; a machine answers within milliseconds
+PROBE_HEARD_REPORTS = 1.3  # report intervals within which nearly all others must be heard, or the
+# silence may be ours
 LOST_REPORTS = 5.0  # missed report intervals; then deleting it frees its tasks before its lease
 LOST_LEASE = 0.6  # of the lease, if that is less: later, the lease would end as soon
 OUT_OF_REACH_SHARE = 0.5  # of the machines neither heard nor hearing us: another should lead
@@ -97,6 +103,8 @@
 SAVES_WORTH = 4.0  # times the save: a task that saves by itself so often loses, with half an
 # interval, at most twice as long as the save would hold up whoever needs its room
 RESTART_S = 10.0  # s; what a stopped task loses besides work: queueing, a start, perhaps a fetch
+REPLICAS_TOGETHER = 4  # of any jobs on one machine before others are taken instead: its end
+# costs few of them, and larger tasks find few machines that are used a little
 EFFORT_WEIGHT = 3.0  # times the seconds a job would fill the fleet are added to its latest start
 PROBE_LATER_S = 1e6  # s; probes of suspect jobs come after all others of their priority
 AGED_S = 150.0  # s; a job that none of its tasks has a place for so long goes before all
--- a/peathall/fleet/returns.py
+++ b/peathall/fleet/returns.py
@@ -56,9 +56,12 @@
         self.health.note_tick(now)
         self.boots.note()
         heard, elsewhere = self._heard_share(now), self.health.reporting_elsewhere()
+        most_heard = self.health.most_heard(now)
         chosen = []
         for machine in self.cluster.machines.values():
             why = self._why_delete(machine, now, heard, elsewhere)
+            if not why and most_heard and not elsewhere(machine):
+                why = self._unreachable(machine, now)
             if why:
                 if machine.phase is not MachinePhase.DELETING:
                     log.info("machine %s is to be deleted: %s", machine.name, why)
@@ -109,6 +112,17 @@
             return "idle"
         return ""
 
+    def _unreachable(self, machine: Machine, now: float) -> str:
+        """A machine whose replicas are missed at once: silent, and no probe of it is answered."""
+        probed = machine.failed_probes >= constants.PROBE_TRIES and machine.replicas
+        if (
+            machine.phase is MachinePhase.UP
+            and probed
+            and self.health.missed_a_report(machine, now)
+        ):
+            return f"silent for {self.health.silent_to_us_s(machine, now):.0f} s, and unreachable"
+        return ""
+
     def _make_way(self, now: float, shortage: Shortage) -> list[Machine]:
         """A cloud that refuses what a job has long waited for may have given all it has: a few
         machines that have long been idle and are of no use to the job are not held beside it.
--- a/peathall/placement/ordering.py
+++ b/peathall/placement/ordering.py
@@ -19,11 +19,13 @@
 
 def rank(machine: MachineView, spec: JobSpec, keep_ordinary: bool, seed: int) -> tuple[float, ...]:
     """The paper's order of hosts, after what is scarce: GPUs, and ordinary machines
-    while there are jobs that may use no others. `seed` begins the hash with the job."""
+    while there are jobs that may use no others. Replicas come to machines with few others.
+    `seed` begins the hash with the job."""
     cached = spec.image in machine.images
     return (
         machine.gpus,
         keep_ordinary and not machine.spot,
+        spec.daemon and machine.replicas >= constants.REPLICAS_TOGETHER,
         not cached,
         not cached and spec.image not in machine.look().pulling,
         machine.stale,
--- a/peathall/placement/snapshot.py
+++ b/peathall/placement/snapshot.py
@@ -212,6 +212,7 @@
             int(self.workers.health.silence(machine, self.now) / report_s),
             lambda: self._detail(machine),
             max(0, constants.MACHINE_TASKS - self.workers.in_reports(machine)),
+            machine.replicas,
         )
 
     def _detail(self, machine: Machine) -> Detail:
--- a/peathall/placement/views.py
+++ b/peathall/placement/views.py
@@ -98,6 +98,7 @@
         "key",
         "name",
         "ram",
+        "replicas",
         "slots",
         "spot",
         "stale",
@@ -117,7 +118,9 @@
         stale: int = 0,
         detail: Callable[[], Detail] = Detail,
         slots: int = constants.MACHINE_TASKS,
+        replicas: int = 0,
     ) -> None:
+        self.replicas = replicas  # of any standing services
         self.slots = slots  # how many more tasks its reports have room for
         self.name = name
         self.key = name.encode()
@@ -148,6 +151,7 @@
 
     def take(self, spec: JobSpec, count: int) -> None:
         self.slots -= count
+        self.replicas += spec.daemon * count
         self.free[0] -= spec.cpus * count
         self.free[1] -= spec.gpus * count
         self.free[2] -= spec.ram * count
--- a/peathall/workers/health.py
+++ b/peathall/workers/health.py
@@ -47,6 +47,18 @@
         """Seconds for which the machine could have reported to us, and has not."""
         return now - max(machine.last_heard, self.active_since)
 
+    def missed_a_report(self, machine: Machine, now: float) -> bool:
+        """Whether its next report should have come, however late reports come."""
+        limit = constants.PROBE_REPORTS * self.settings.report_s
+        return self.silent_to_us_s(machine, now) > limit
+
+    def most_heard(self, now: float) -> bool:
+        """Whether nearly all machines report as ever: who does not has a trouble of its own."""
+        limit = constants.PROBE_HEARD_REPORTS * self.settings.report_s
+        up = self.expected()
+        heard = [m for m in up if m.deaf_since is None and self.silent_to_us_s(m, now) <= limit]
+        return len(heard) >= constants.SURE_SHARE * len(up)
+
     def suspect_s(self) -> float:
         """So long after a machine's last report it takes no new work."""
         return min(
--- a/peathall/workers/model.py
+++ b/peathall/workers/model.py
@@ -30,6 +30,7 @@
         "cpus",
         "deaf_since",
         "failed_jobs",
+        "failed_probes",
         "free_cpus",
         "free_gpus",
         "free_ram",
@@ -43,6 +44,7 @@
         "phase",
         "proved_at",
         "ram",
+        "replicas",
         "seq",
         "session",
         "spot",
@@ -80,6 +82,8 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.images: OrderedDict[str, float] = OrderedDict()  # cached, as far as we can tell
         self.failed_jobs: set[str] = set()  # jobs that failed here since the last success
+        self.failed_probes = 0  # without an answer, since it was last heard
+        self.replicas = 0  # of standing services, among its attempts
         self.proved_at = -1e9  # steady time at which a task last went well here
 
     def enter(self, phase: MachinePhase) -> bool:
@@ -111,6 +115,7 @@
         self.free_cpus -= spec.cpus
         self.free_gpus -= spec.gpus
         self.free_ram -= spec.ram
+        self.replicas += spec.daemon
 
     def give_back(self, attempt: Attempt, now: float) -> None:
         spec = attempt.job.spec
@@ -118,6 +123,7 @@
         self.free_cpus += spec.cpus
         self.free_gpus += spec.gpus
         self.free_ram += spec.ram
+        self.replicas -= spec.daemon
         if not self.attempts:
             self.idle_since = now
             # Floating point dust must not keep a whole machine from a task.
--- /dev/null
+++ b/peathall/workers/probes.py
@@ -0,0 +1,64 @@
+"""Probes of silent machines that have replicas: a replica is missed from the first second."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from peathall import constants
+from peathall.wire.http import HttpClient, NoAnswerError
+from peathall.workers.health import MachineHealth
+from peathall.workers.model import Machine, MachinePhase
+
+
+class LivenessProbes:
+    """Asks machines directly that have missed a report.
+
+    An answer proves that the machine is there, and nothing else: it neither renews the worker's
+    lease nor counts as a report. Without an answer, time and again, the machine may be deleted
+    sooner than its silence alone would allow.
+    """
+
+    def __init__(self, health: MachineHealth, may_act: Callable[[], bool]) -> None:
+        self.health = health
+        self.may_act = may_act
+        self._under_way: dict[str, asyncio.Task[None]] = {}  # by machine
+
+    def tick(self, now: float) -> None:
+        """Begin probes of machines that have become silent, unless nearly all have."""
+        silent = []
+        for machine in self.health.expected():
+            if not self.health.missed_a_report(machine, now):
+                machine.failed_probes = 0
+            elif machine.replicas and machine.phase is MachinePhase.UP and machine.addr:
+                silent.append(machine)
+        if not silent or not self.health.most_heard(now):
+            return
+        for machine in silent:
+            asked = machine.failed_probes >= constants.PROBE_TRIES
+            if not asked and machine.name not in self._under_way:
+                self._under_way[machine.name] = asyncio.create_task(self._probe(machine))
+
+    async def _probe(self, machine: Machine) -> None:
+        client = HttpClient(machine.addr, keep=0, may_send=self.may_act)
+        try:
+            for _ in range(constants.PROBE_TRIES):
+                if await self._answers(client):
+                    machine.failed_probes = 0
+                    return
+                machine.failed_probes += 1
+        finally:
+            del self._under_way[machine.name]
+
+    @staticmethod
+    async def _answers(client: HttpClient) -> bool:
+        try:
+            await client.request("GET", "/inspect", b"", constants.PROBE_TIMEOUT_S)
+        except NoAnswerError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """The term is over."""
+        for task in self._under_way.values():
+            task.cancel()
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -18,6 +18,7 @@
 from peathall.workers.faults import FaultTracker
 from peathall.workers.health import MachineHealth, ReportsElsewhere
 from peathall.workers.model import Machine, MachinePhase
+from peathall.workers.probes import LivenessProbes
 
 log = logging.getLogger("peathall.workers")
 
@@ -68,6 +69,7 @@
         self.took_over = now
         self.health = MachineHealth(cluster, settings, now, elsewhere)
         self.delivery = DirectDelivery(self, may_act, connections, deferrable_rate)
+        self.probes = LivenessProbes(self.health, may_act)
         self.counter = 0
         # The mandate under which a start was sent directly; such a start may be
         # executed late until the worker has seen a higher one.
@@ -388,6 +390,7 @@
         # that a report shows tells which of our answers the worker has had.
         self.fence()
         self.health.note_tick(now)
+        self.probes.tick(now)
         self._empty_sick(self.faults.look(now))
         for machine in list(self.cluster.machines.values()):
             # Known from records only: if it still exists, its report or the cloud's list
@@ -413,3 +416,4 @@
     def close(self) -> None:
         """The term is over."""
         self.delivery.close()
+        self.probes.close()
--- /dev/null
+++ b/tests/sim/test_services.py
@@ -0,0 +1,101 @@
+"""Standing services whose machines are to be left, or stop: how long a replica is missing."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tests.sim.net import Host
+from tests.sim.sites import node_settings
+from tests.sim.test_combined_failures import daemon
+from tests.sim.test_days import draw_job, virtual
+from tests.sim.world import Worker, World
+
+SERVICES = range(800, 804)
+
+
+def replicas_on(worker: Worker) -> list[str]:
+    """Replicas that run there."""
+    tasks = worker.tasks.values()
+    return [t.name for t in tasks if t.job["shape"] == "daemon" and t.state == "running"]
+
+
+async def missing_s(world: World, names: list[str], seconds: float) -> dict[str, float]:
+    """For how long each of the replicas was on no machine, looked at often."""
+    missing = dict.fromkeys(names, 0.0)
+    ends = world.loop.now + seconds
+    while world.loop.now < ends:
+        await asyncio.sleep(0.05)
+        for name in names:
+            if not any(task.state == "running" for task in world.here.get(name, ())):
+                missing[name] += 0.05
+    return missing
+
+
+async def steady(world: World) -> None:
+    """Some machines with room, and four standing services."""
+    await world.begin()
+    rng = random.Random(7)
+    filler = draw_job(rng, 1) | {
+        "shape": "sweep", "desk": "red", "parcels": 16, "vcpus": 1.5, "cards": 0.0,
+        "builds": ["small"], "ward": None, "together": False, "scatter": False, "run_s": 300.0,
+    }  # fmt: skip
+    jobs: list[dict[str, Any]] = [filler]
+    jobs += [daemon(rng, number) | {"parcels": 3, "scatter": False} for number in SERVICES]
+    for number, job in enumerate(jobs):
+        context = world.context(Host(f"10.9.3.{number + 1}"))
+        world.loop.create_task(world.user(job, None), context=context)
+        await asyncio.sleep(4.0 if number == 0 else 0.2)
+    await asyncio.sleep(30.0)
+
+
+def recalled(world: World, worker: Worker) -> None:
+    world.recall(worker, 6.0)
+
+
+def sick(world: World, worker: Worker) -> None:
+    """It fails whatever starts there: the leader empties it."""
+    node = world.nodes[world.leader() or 0][1]
+    node.leader.workers.drain(node.leader.cluster.machines[worker.name], "it is sick")
+
+
+def dead(world: World, worker: Worker) -> None:
+    """Without power; the cloud lists it as running for a while."""
+    worker.die()
+    worker.state = "running"
+
+
+@pytest.mark.parametrize(
+    ("trouble", "longest_s"),
+    [
+        (recalled, 1.5),  # stop, proof of absence, start, and half a second for the image
+        (sick, 1.5),
+        (dead, 7.0),  # a missed report, two probes, the deletion: its silence alone takes 8 s
+    ],
+)
+def test_how_long_a_replica_is_missing(
+    trouble: Callable[[World, Worker], None], longest_s: float
+) -> None:
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual(77) as loop:
+        world = World(loop, 77, [node_settings(i) for i in range(3)])
+
+        async def play() -> None:
+            await steady(world)
+            worker = max(world.workers.values(), key=lambda w: len(replicas_on(w)))
+            names = replicas_on(worker)
+            assert names
+            trouble(world, worker)
+            missing = await missing_s(world, names, 15.0)
+            assert max(missing.values()) < longest_s, missing
+            assert not replicas_on(worker)
+            for name in names:
+                assert any(task.state == "running" for task in world.here[name])
+
+        loop.run_until_complete(play())
+        assert world.broken == []
--- a/tests/sim/world.py
+++ b/tests/sim/world.py
@@ -70,7 +70,9 @@
     async def live(self) -> None:
         self.answered = self.loop.now
         await HttpServer(self.commands, 100).start(self.host.ip, 9000)
-        self.loop.create_task(self.watch_lease())
+        # The lease ends in time also while the machine hangs: it may go on within its lease only.
+        apart = self.world.context(Host("10.8.0.2"))
+        self.loop.create_task(self.watch_lease(), context=apart)
         size = self.world.size
         at = self.loop.rng.randrange(size)
         clients = [HttpClient(f"10.0.0.{i + 1}:8080") for i in range(size)]
@@ -110,7 +112,7 @@
                     pass
 
     async def watch_lease(self) -> None:
-        while True:
+        while self.state == "running":
             await asyncio.sleep(0.1)
             if self.loop.now - self.answered > self.world.lease_s:
                 for task in list(self.tasks.values()):
@@ -129,6 +131,8 @@
         }  # fmt: skip
 
     async def commands(self, request: Request) -> Response:
+        if request.path == "/inspect":
+            return body.cbor_response(200, self.report())
         raw = body.cbor_map(request.body)
         if raw["mandate"] < self.token or raw["tenure"] != self.session:
             return body.cbor_response(409, self.report())
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -446,3 +446,19 @@
     other = JobView(spec(id="j-2", team="u", ram=0.5), 1)
     teams = {"t": Team("t", cpus_max=1.0), "u": Team("u")}
     assert make_plan([job, other], [booked], teams, {"t": [1.0, 0.0]}).starts == []
+
+
+def test_replicas_of_different_jobs_share_a_machine_only_up_to_a_few() -> None:
+    """One machine's end took a dozen replicas of as many jobs, all with the same image."""
+    full_of_them = machine("m-0", (32.0, 4.0, 256.0), images=["i"], replicas=4)
+    few = machine("m-1", (32.0, 4.0, 256.0), images=["i"], replicas=3)
+    empty = machine("m-2", (32.0, 4.0, 256.0))
+    jobs = [
+        JobView(spec(id=f"j-{n}", tasks=1, daemon=True, priority=0, submitted=n), 1)
+        for n in range(2)
+    ]
+    plan = make_plan(jobs, [full_of_them, few, empty], TEAMS, {})
+    assert [start.machine for start in plan.starts] == ["m-1", "m-2"]
+    # Where there is no other room, they share.
+    plan = make_plan([JobView(jobs[0].spec, 1)], [full_of_them], TEAMS, {})
+    assert [start.machine for start in plan.starts] == ["m-0"]
