--- a/peathall/cli.py
+++ b/peathall/cli.py
@@ -13,6 +13,7 @@
 
 
 def build_parser() -> argparse.ArgumentParser:
+    """The command line."""
     parser = argparse.ArgumentParser(
         prog="peathall", description="A controller of the peathall cluster scheduler."
     )
@@ -28,6 +29,7 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    """Run a controller, or check its settings; the exit code."""
     args = build_parser().parse_args(argv)
     level = os.environ.get("LOG_LEVEL", "info").lower()
     logging.basicConfig(
--- a/peathall/cluster.py
+++ b/peathall/cluster.py
@@ -18,6 +18,8 @@
 
 
 class ClusterState:
+    """Jobs, machines, attempts, rounds and the teams' use in one term."""
+
     def __init__(self, term: int, first_attempt: int) -> None:
         self.term = term
         self.jobs: dict[str, Job] = {}
@@ -34,6 +36,7 @@
         self.on_room: Callable[[], None] = lambda: None
 
     def new_attempt_number(self) -> int:
+        """One that no attempt has had, in this term or an earlier one."""
         self.next_attempt += 1
         return self.next_attempt
 
@@ -60,6 +63,7 @@
         return found
 
     def book(self, job: Job, task: int, number: int, machine: Machine, round_key: str) -> Attempt:
+        """Take the room of a new attempt, before anything is stored or sent."""
         attempt = Attempt(job, task, number, machine.name, round_key)
         job.attempts[task] = attempt
         job.todo.remove(task)
@@ -99,6 +103,7 @@
         return lost
 
     def release_all(self, machine: Machine, now: float) -> list[Attempt]:
+        """Everything on the machine is surely gone; what was there."""
         lost = list(machine.attempts.values())
         for attempt in lost:
             self.release(attempt, now)
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -36,6 +36,7 @@
 # new state no more changes than a busy store has to spare
 WATCH_HOLD_S = 6.0  # s; a watch behind a silent cut is noticed after this plus the timeout
 VALUE_FILL = 0.85  # of value_kb is used, since the limit counts another encoding than we measure
+TXN_CONDITIONS = 4  # times txn_ops: conditions of one transaction (protocol)
 TXN_BYTES = 48 * 1024  # bytes of one transaction, kept clear of the 64 KiB limit
 
 # --- leadership -------------------------------------------------------------
@@ -57,13 +58,16 @@
 # silent for longer has missed a report, and is asked whether it is there
 PROBE_TRIES = 2  # probes without an answer, one after the other: then it is not waited for
 PROBE_TIMEOUT_S = 1.0  # s; a machine answers within milliseconds
-PROBE_HEARD_REPORTS = 1.3  # report intervals within which nearly all others must be heard, or the
+PROBE_HEARD_REPORTS = 1.3  # report intervals within which most machines must be heard, or the
 # silence may be ours
+PROBE_HEARD_SHARE = (
+    0.7  # of the machines, then; a zone that is cut off is mostly more than the rest
+)
 LOST_REPORTS = 5.0  # missed report intervals; then deleting it frees its tasks before its lease
 LOST_LEASE = 0.6  # of the lease, if that is less: later, the lease would end as soon
 OUT_OF_REACH_SHARE = 0.5  # of the machines neither heard nor hearing us: another should lead
 HEARD_SHARE = 0.3  # of the machines must be heard before silence is blamed on a machine; one
-# that is alive behind a cut of ours knocks at another controller, which tells us
+# that is alive behind a cut of ours reports to another controller, which tells us
 SURE_SHARE = 0.8  # of the machines heard: then a machine that only others hear is of no use
 CHECKIN_HOLD_S = (
     1.5  # s; a check-in that meets a leader still reading its records waits (4 s limit)
@@ -103,8 +107,8 @@
 SAVES_WORTH = 4.0  # times the save: a task that saves by itself so often loses, with half an
 # interval, at most twice as long as the save would hold up whoever needs its room
 RESTART_S = 10.0  # s; what a stopped task loses besides work: queueing, a start, perhaps a fetch
-REPLICAS_TOGETHER = 4  # of any jobs on one machine before others are taken instead: its end
-# costs few of them, and larger tasks find few machines that are used a little
+REPLICAS_TOGETHER = 8  # of any jobs on one machine before others are taken instead, so that its
+# end costs few of them; with less, more have to fetch their image, and start late
 EFFORT_WEIGHT = 3.0  # times the seconds a job would fill the fleet are added to its latest start
 PROBE_LATER_S = 1e6  # s; probes of suspect jobs come after all others of their priority
 AGED_S = 150.0  # s; a job that none of its tasks has a place for so long goes before all
--- a/peathall/fleet/account.py
+++ b/peathall/fleet/account.py
@@ -28,6 +28,7 @@
 
 
 def label(phase: AttemptPhase) -> str:
+    """What a machine's time is spent on while an attempt is in this phase."""
     if phase in (AttemptPhase.PLANNED, AttemptPhase.INTENDED, AttemptPhase.SENT):
         return "starting"
     return phase.name.lower()
@@ -40,6 +41,7 @@
         self.spent: dict[str, float] = {}
 
     def add(self, machines: list[Machine], types: dict[str, MachineType], seconds: float) -> None:
+        """Count what all machines have been doing for so many seconds."""
         for machine in machines:
             kind = types.get(machine.type)
             if kind is None:
@@ -49,6 +51,7 @@
                 self.spent[name] = self.spent.get(name, 0.0) + part * price
 
     def line(self) -> str:
+        """Where the time went since the last line."""
         total = sum(self.spent.values())
         parts = sorted(self.spent.items(), key=lambda x: -x[1])
         self.spent = {}
--- a/peathall/fleet/client.py
+++ b/peathall/fleet/client.py
@@ -29,6 +29,8 @@
 
 
 class CloudClient:
+    """The cloud's calls. Errors are CloudError; room refused is NoCapacityError."""
+
     def __init__(self, addr: str, settings: CloudSettings, may_send: Callable[[], bool]) -> None:
         self.http = HttpClient(addr, may_send=may_send)
         self.loop = asyncio.get_running_loop()
@@ -52,9 +54,11 @@
         return answer
 
     async def types(self) -> list[dict[str, Any]]:
+        """All machine types, as the cloud describes them."""
         return list((await self._ask("GET", "/machine_types"))["builds"])
 
     async def machines(self) -> list[ListedMachine]:
+        """The whole machine list, page by page."""
         found: list[ListedMachine] = []
         after = ""
         while True:
@@ -69,6 +73,7 @@
             after = page[-1].name
 
     async def rent(self, request: str, offer: Offer, count: int) -> list[str]:
+        """Rent machines; a request repeated under its name rents nothing more."""
         wire = {
             "hire": request,
             "build": offer.type.name,
@@ -79,4 +84,5 @@
         return [str(x) for x in (await self._ask("POST", "/hosts", wire))["halls"]]
 
     async def delete(self, machines: list[str]) -> None:
+        """Delete machines. Once this returns, they and everything on them are gone."""
         await self._ask("POST", "/hosts/delete", {"halls": machines})
--- a/peathall/fleet/planner.py
+++ b/peathall/fleet/planner.py
@@ -20,10 +20,12 @@
 
     @property
     def price(self) -> float:
+        """Of an hour, now."""
         return self.type.spot_price if self.spot else self.type.price
 
     @property
     def key(self) -> tuple[str, str, bool]:
+        """By which refusals are remembered."""
         return (self.type.name, self.zone, self.spot)
 
 
@@ -37,12 +39,14 @@
         self.free = free or [offer.type.cpus, offer.type.gpus, offer.type.ram]
 
     def put(self, spec: JobSpec, count: int) -> None:
+        """Take room for so many tasks of the job."""
         self.free[0] -= spec.cpus * count
         self.free[1] -= spec.gpus * count
         self.free[2] -= spec.ram * count
 
 
 def suits(offer: Offer, spec: JobSpec) -> bool:
+    """Whether a task of the job may run on such a machine, and fits."""
     kind = offer.type
     return (
         (spec.types is None or kind.name in spec.types)
@@ -61,6 +65,7 @@
 
 
 def all_offers(types: list[MachineType]) -> list[Offer]:
+    """Every kind of machine that the cloud might have."""
     return [Offer(t, zone, spot) for t in types for zone in t.zones for spot in (True, False)]
 
 
@@ -91,11 +96,11 @@
         mine = [b for b in bins if suits(b.offer, spec)]
         if spec.one_zone:
             beside = [b for b in left if suits(b.offer, spec)]
-            home = next(iter(job.running_zones), None) or home_zone(
+            zone = next(iter(job.running_zones), None) or roomiest_zone(
                 spec, count, mine + beside, usable
             )
-            usable = [o for o in usable if o.zone == home]
-            mine = [b for b in mine if b.offer.zone == home]
+            usable = [o for o in usable if o.zone == zone]
+            mine = [b for b in mine if b.offer.zone == zone]
         zones = dict(job.running_zones)
         for held in mine:
             fit = min(fits_in(held.free, spec), count, zone_room(spec, zones, held.offer.zone))
@@ -126,7 +131,7 @@
     return (spec.tasks + 1) // 2 - zones.get(zone, 0)
 
 
-def home_zone(spec: JobSpec, count: int, bins: list[Bin], offers: list[Offer]) -> str | None:
+def roomiest_zone(spec: JobSpec, count: int, bins: list[Bin], offers: list[Offer]) -> str | None:
     """The zone for all tasks: where most find room already, among those where all will: room that
     is too small in a zone that has nothing more to rent would be waited for in vain."""
     zones = list(dict.fromkeys([b.offer.zone for b in bins] + [o.zone for o in offers]))
--- a/peathall/fleet/returns.py
+++ b/peathall/fleet/returns.py
@@ -79,31 +79,13 @@
         if phase is MachinePhase.DELETING:
             return "again"
         if phase is MachinePhase.BOOTING:
-            patience = (
-                constants.BOOT_PATIENCE
-                if self.boots.overtaken(machine)
-                else constants.BOOT_PATIENCE_ALL
-            )
-            late = now - machine.born > max(
-                constants.BOOT_PATIENCE_MIN_S, patience * self.boots.boot_s(machine)
-            )
-            return "it never came up" if late else ""
+            return self._why_delete_booting(machine, now)
         if phase is MachinePhase.DRAINING:
-            if not machine.attempts:
-                return machine.why_draining
-            if machine.taken_at is not None and now > machine.taken_at + constants.TAKEN_S:
-                return "taken back by now"  # the answer frees its tasks before their lease
-            return ""
+            return self._why_delete_draining(machine, now)
         if phase in (MachinePhase.UP, MachinePhase.UNHEARD) and heard >= constants.HEARD_SHARE:
-            lost_s = self.health.lost_s()
-            quiet = self.health.silent_to_us_s(machine, now)
-            if quiet > lost_s and (heard >= constants.SURE_SHARE or not elsewhere(machine)):
-                return f"silent for {quiet:.0f} s"
-            if machine.deaf_since is not None and now - machine.deaf_since > lost_s:
-                return f"got no answer of ours for {now - machine.deaf_since:.0f} s"
-            late = phase is MachinePhase.UP and not machine.confirmed
-            if late and now - machine.came > 2 * lost_s:
-                return "reported once, and nothing since shows that it exists"
+            why = self._why_delete_silent(machine, now, heard, elsewhere)
+            if why:
+                return why
         if (
             phase is MachinePhase.UP
             and not machine.attempts
@@ -112,6 +94,35 @@
             return "idle"
         return ""
 
+    def _why_delete_booting(self, machine: Machine, now: float) -> str:
+        overtaken = self.boots.overtaken(machine)
+        patience = constants.BOOT_PATIENCE if overtaken else constants.BOOT_PATIENCE_ALL
+        limit = max(constants.BOOT_PATIENCE_MIN_S, patience * self.boots.boot_s(machine))
+        return "it never came up" if now - machine.born > limit else ""
+
+    @staticmethod
+    def _why_delete_draining(machine: Machine, now: float) -> str:
+        if not machine.attempts:
+            return machine.why_draining
+        if machine.taken_at is not None and now > machine.taken_at + constants.TAKEN_S:
+            return "taken back by now"  # the answer frees its tasks before their lease
+        return ""
+
+    def _why_delete_silent(
+        self, machine: Machine, now: float, heard: float, elsewhere: Callable[[Machine], bool]
+    ) -> str:
+        """Silent, deaf, or known from a single report."""
+        lost_s = self.health.lost_s()
+        quiet = self.health.silent_to_us_s(machine, now)
+        if quiet > lost_s and (heard >= constants.SURE_SHARE or not elsewhere(machine)):
+            return f"silent for {quiet:.0f} s"
+        if machine.deaf_since is not None and now - machine.deaf_since > lost_s:
+            return f"got no answer of ours for {now - machine.deaf_since:.0f} s"
+        late = machine.phase is MachinePhase.UP and not machine.confirmed
+        if late and now - machine.came > 2 * lost_s:
+            return "reported once, and nothing since shows that it exists"
+        return ""
+
     def _unreachable(self, machine: Machine, now: float) -> str:
         """A machine whose replicas are missed at once: silent, and no probe of it is answered."""
         probed = machine.failed_probes >= constants.PROBE_TRIES and machine.replicas
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -31,6 +31,8 @@
 
 
 class Fleet:
+    """Looks at the cloud's list, returns machines and rents others."""
+
     def __init__(
         self,
         cluster: ClusterState,
@@ -68,6 +70,7 @@
 
     # --- machine types -------------------------------------------------------
     def set_types(self, raw: list[dict[str, Any]]) -> None:
+        """The machine types as the cloud, or the record of them, describes them."""
         types = [names.machine_type_from_wire(x) for x in raw]
         self.cluster.types = {t.name: t for t in types}
         self.raw_types = raw
@@ -91,6 +94,7 @@
 
     # --- loop ----------------------------------------------------------------
     def request_plan(self) -> None:
+        """Something lacks room: plan rentals soon."""
         self.wake.set()
 
     async def run(self) -> None:
--- a/peathall/jobs/archive.py
+++ b/peathall/jobs/archive.py
@@ -122,6 +122,7 @@
                 self.archive_if_over(self.cluster.jobs[job_id])
 
     def archive_if_over(self, job: Job) -> None:
+        """Offer to archive the job, if nothing of it is left."""
         if self.can_go(job) and self.cluster.jobs.get(job.spec.id) is job:
             self.writer.offer(job.record_key, lambda: self._archive_change(job.record_key))
 
--- a/peathall/jobs/fallback.py
+++ b/peathall/jobs/fallback.py
@@ -38,6 +38,7 @@
         return end
 
     async def query(self, job_id: str) -> Answer:
+        """Answer a poll from the store."""
         end = self.over.get(job_id)
         if end is not None:
             return end
@@ -58,6 +59,7 @@
         return self._learn(job_id, final(job_id, past.value["standing"], past.value.get("done")))
 
     async def accept(self, spec: JobSpec) -> Answer:
+        """Create the job in the store, if it is not known there."""
         if spec.id in self.over:
             return self.over[spec.id]
         await self.live.refresh()
@@ -79,4 +81,5 @@
 
 
 def final(job_id: str, standing: str, done: int | None) -> Answer:
+    """The answer for a job that is over."""
     return 200, names.job_status(job_id, Standing(standing), done or 0)
--- a/peathall/jobs/live.py
+++ b/peathall/jobs/live.py
@@ -13,6 +13,8 @@
 
 
 class Live:
+    """What a follower remembers of the records of live jobs."""
+
     def __init__(self, store: StateClient) -> None:
         self.store = store
         self.revision: int | None = None  # up to which the rest is known; None: read it all
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -10,6 +10,8 @@
 
 
 class JobPhase(Enum):
+    """From accepted to over."""
+
     ACTIVE = auto()  # accepted, with work left
     CANCELLING = auto()  # its user wants it cancelled, which is being stored: nothing starts
     CANCELLED = auto()  # cancellation stored; attempts may still be on machines
@@ -17,12 +19,16 @@
 
 
 class Trust(Enum):
+    """Whether a job's failures are likely to be its own fault."""
+
     UNKNOWN = auto()  # nothing of it has gone well yet, nor failed in several places
     PROVEN = auto()  # it has gone well somewhere
     SUSPECT = auto()  # failed in several places, went well in none: perhaps a mistake in it
 
 
 class AttemptPhase(Enum):
+    """From booked to proven gone."""
+
     PLANNED = auto()  # room is taken, the intent is not stored yet
     INTENDED = auto()  # stored; the start may go out
     SENT = auto()  # a start order went out, or may have gone out in an earlier term
@@ -64,12 +70,14 @@
         self.seen: object = None  # what its machine last reported of it
 
     def enter(self, phase: AttemptPhase, now: float) -> None:
+        """The one way to change the phase; GONE is never left."""
         if phase is not self.phase and self.phase is not AttemptPhase.GONE:
             self.phase = phase
             self.since = now
 
     @property
     def running(self) -> bool:
+        """Its machine reports it as running."""
         return self.phase is AttemptPhase.RUNNING
 
     @property
@@ -79,6 +87,8 @@
 
 
 class Job:
+    """One job of a user, with its tasks and their attempts."""
+
     __slots__ = (
         "attempts",
         "backoff_until",
@@ -137,10 +147,12 @@
         return self.phase in (JobPhase.CANCELLED, JobPhase.DONE)
 
     def enter_trust(self, trust: Trust) -> None:
+        """The one way to change the trust."""
         self.trust = trust
 
     @property
     def standing(self) -> Standing:
+        """What its user is told."""
         if self.phase is JobPhase.DONE:
             return Standing.DONE
         if self.phase is JobPhase.CANCELLED:
@@ -149,6 +161,7 @@
 
     @property
     def running(self) -> int:
+        """How many of its tasks run."""
         return sum(1 for attempt in self.attempts.values() if attempt.running)
 
     def mark_done(self, task: int) -> bool:
@@ -160,9 +173,11 @@
         return True
 
     def mark_all_done(self) -> None:
+        """Every task counts as done."""
         self.done.add(0, self.spec.tasks)
         self.todo = Ranges()
 
     def requeue(self, task: int) -> None:
+        """An attempt of the task is gone: unless it is done, it waits again."""
         if task not in self.done:
             self.todo.add(task)
--- a/peathall/jobs/ranges.py
+++ b/peathall/jobs/ranges.py
@@ -7,6 +7,8 @@
 
 
 class Ranges:
+    """A set of task numbers."""
+
     __slots__ = ("spans",)
 
     def __init__(self, spans: Iterable[Iterable[int]] = ()) -> None:
@@ -29,6 +31,7 @@
         return at >= 0 and self.spans[at][0] <= number < self.spans[at][1]
 
     def add(self, low: int, high: int | None = None) -> None:
+        """Add the numbers from `low` up to, not including, `high`."""
         high = low + 1 if high is None else high
         if low >= high:
             return
@@ -43,6 +46,7 @@
         self.spans[at:end] = [(low, high)]
 
     def remove(self, low: int, high: int | None = None) -> None:
+        """Take out the numbers from `low` up to, not including, `high`."""
         high = low + 1 if high is None else high
         if low >= high:
             return  # an empty range must not cut a span in two
@@ -77,4 +81,5 @@
         return found
 
     def to_record(self) -> list[list[int]]:
+        """As lists of two numbers."""
         return [[low, high] for low, high in self.spans]
--- a/peathall/jobs/records.py
+++ b/peathall/jobs/records.py
@@ -36,16 +36,19 @@
 
 
 def done_key(job_id: str, block: int, size: int) -> str:
+    """The key of one block of a job's done tasks."""
     # An earlier version writes `done/ID/B`, with blocks as large as values were then. It reads all
     # that begins with `done/ID/`, as we do: under one key, two sizes would lose tasks.
     return f"{DONE}{job_id}/{size}x{block}"
 
 
 def done_record(done: Ranges, block: int, size: int) -> dict[str, Any]:
+    """The value of one block."""
     low, high = block * size, (block + 1) * size
     spans = [[max(a, low), min(b, high)] for a, b in done.spans if b > low and a < high]
     return {"done": spans}
 
 
 def final_record(standing: Standing, done: int) -> dict[str, Any]:
+    """The value that says how an archived job ended."""
     return {"standing": standing.value, "done": done}
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -61,6 +61,8 @@
 
 
 class Jobs:
+    """The leader's answers to users, and the states of jobs that it stores."""
+
     def __init__(
         self,
         cluster: ClusterState,
@@ -91,6 +93,7 @@
 
     # --- records -------------------------------------------------------------
     def load(self, live: list[Item], done: list[Item], revision: int) -> None:
+        """After a take-over: all live jobs, their ends and their done tasks."""
         self.revision = revision
         for item in live:
             self.writer.versions[item.key] = item.version
@@ -104,22 +107,28 @@
                 self.adopt(item.value, item.key)
         for item in live:
             if item.key.startswith(records.ENDS):
-                for job_id, standing, _ in item.value["ends"]:
-                    if job_id in self.cluster.jobs:
-                        self._final(self.cluster.jobs[job_id], Standing(standing), item.key)
-                if item.key not in self.archive.ends_left:
-                    self.writer.offer_drop(item.key)
+                self._load_ends(item)
         for item in done:
-            self.writer.versions[item.key] = item.version
-            job = self.cluster.jobs.get(item.key.removeprefix(records.DONE).rpartition("/")[0])
-            if job is None:
-                self.writer.offer_drop(item.key)
-                continue
-            job.done_keys.add(item.key)
-            for low, high in item.value["done"]:
-                job.done.add(low, high)
-                job.stored.add(low, high)
-                job.todo.remove(low, high)
+            self._load_done(item)
+
+    def _load_ends(self, item: Item) -> None:
+        for job_id, standing, _ in item.value["ends"]:
+            if job_id in self.cluster.jobs:
+                self._final(self.cluster.jobs[job_id], Standing(standing), item.key)
+        if item.key not in self.archive.ends_left:
+            self.writer.offer_drop(item.key)
+
+    def _load_done(self, item: Item) -> None:
+        self.writer.versions[item.key] = item.version
+        job = self.cluster.jobs.get(item.key.removeprefix(records.DONE).rpartition("/")[0])
+        if job is None:
+            self.writer.offer_drop(item.key)
+            return
+        job.done_keys.add(item.key)
+        for low, high in item.value["done"]:
+            job.done.add(low, high)
+            job.stored.add(low, high)
+            job.todo.remove(low, high)
 
     def adopt(self, record: dict[str, Any], record_key: str) -> Job:
         """A job that stands in the store, whoever wrote it there."""
@@ -157,6 +166,7 @@
 
     # --- requests ------------------------------------------------------------
     async def accept(self, spec: JobSpec) -> Answer:
+        """A submission; answered once the job is stored."""
         known = await self._known(spec.id)
         if known is not None:
             return known
@@ -213,6 +223,7 @@
         return 200, names.job_status(job_id, standing, past.value.get("done", 0))
 
     async def query(self, job_id: str) -> Answer:
+        """A poll for a job that memory alone can't answer."""
         known = await self._known(job_id) or await self._read(job_id)
         return known if known is not None else (404, None)
 
@@ -222,11 +233,13 @@
         return (200, self.status(job)) if job is not None and job.settling is None else None
 
     def status(self, job: Job) -> dict[str, Any]:
+        """The job's state as told to its user."""
         done = job.spec.tasks if job.phase is JobPhase.DONE else len(job.stored)
         running = job.running if job.phase is JobPhase.ACTIVE else 0
         return names.job_status(job.spec.id, job.standing, done, running)
 
     async def cancel(self, job_id: str) -> Answer:
+        """A cancellation; answered once it is stored."""
         if job_id not in self.cluster.jobs:
             known = await self._known(job_id) or await self._read(job_id)
             if known is None:
@@ -344,6 +357,7 @@
                 self._adopt_duplicate(item)
 
     def close(self) -> None:
+        """The term is over."""
         self.new_jobs.close()
         self.new_ends.close()
         self.background.close()
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -31,12 +31,16 @@
 
 
 class LeaderPhase(Enum):
+    """A term begins with a rebuild from the records."""
+
     REBUILDING = auto()
     SERVING = auto()
     OVER = auto()
 
 
 class Leader:
+    """Everything that a controller does only while it leads."""
+
     def __init__(
         self,
         settings: Settings,
@@ -95,10 +99,12 @@
         self.requests: set[asyncio.Task[Answer]] = set()
 
     def enter(self, phase: LeaderPhase) -> None:
+        """The one way to change the phase; OVER is never left."""
         if self.phase is not LeaderPhase.OVER:
             self.phase = phase
 
     def may_act(self) -> bool:
+        """Whether orders and answers may leave now."""
         return self.phase is LeaderPhase.SERVING and self._lease_alive()
 
     # --- between the slices --------------------------------------------------
@@ -122,6 +128,7 @@
 
     # --- life ----------------------------------------------------------------
     async def run(self) -> None:
+        """Rebuild, then serve until the term is over."""
         writing = asyncio.create_task(self.writer.run())
         tasks = [writing]
         try:
@@ -192,6 +199,7 @@
 
     # --- requests ------------------------------------------------------------
     async def checkin(self, report: Report) -> tuple[int, dict[str, Any] | None]:
+        """A worker's report."""
         if self.phase is LeaderPhase.REBUILDING:
             try:
                 await asyncio.wait_for(self.ready.wait(), constants.CHECKIN_HOLD_S)
@@ -220,11 +228,13 @@
         return not self.may_act() or self.writer.phase is WriterPhase.IN_DOUBT
 
     async def accept(self, spec: JobSpec) -> Answer:
+        """A submission."""
         if self._cannot_write():
             return NOT_NOW
         return await self._bounded(self.jobs.accept(spec), constants.ACCEPT_S)
 
     async def query(self, job_id: str) -> Answer:
+        """A poll."""
         if not self.may_act():
             return NOT_NOW
         told = self.jobs.told(job_id)
@@ -233,6 +243,7 @@
         return await self._bounded(self.jobs.query(job_id), constants.FORWARD_S)
 
     async def cancel(self, job_id: str) -> Answer:
+        """A cancellation."""
         if self._cannot_write():
             return NOT_NOW
         return await self._bounded(self.jobs.cancel(job_id), constants.ACCEPT_S)
--- a/peathall/leadership/election.py
+++ b/peathall/leadership/election.py
@@ -31,6 +31,8 @@
 
 
 class Phase(Enum):
+    """A controller's part in the election."""
+
     FOLLOWING = auto()  # somebody leads, or we do not know
     STANDING = auto()  # a campaign is under way
     LEADING = auto()
@@ -48,6 +50,8 @@
 
 
 class Election:
+    """Takes the lead when it is free, renews its lease, and gives it up."""
+
     def __init__(
         self,
         name: str,
@@ -73,6 +77,7 @@
             self.phase = phase
 
     def may_act(self) -> bool:
+        """Whether this controller's lease on the lead lives."""
         return (
             self.phase is Phase.LEADING
             and self.mandate is not None
@@ -80,9 +85,11 @@
         )
 
     def depose(self) -> None:
+        """The lead turned out to be another's."""
         self._deposed.set()
 
     async def run(self) -> None:
+        """Follow, stand and lead in turns, for ever."""
         started = True
         while True:
             try:
@@ -159,9 +166,9 @@
         # names us, that lease is ended, and the term is simply skipped.
         written = LeadRecord(LEAD, record, version, lease_id)
         self.mandate = Mandate(term, written, lease_id, LeadLease(constants.LEAD_TTL_S, sent))
-        await self._reign(self.mandate)
+        await self._lead(self.mandate)
 
-    async def _reign(self, mandate: Mandate) -> None:
+    async def _lead(self, mandate: Mandate) -> None:
         self._deposed = asyncio.Event()
         self.leader = self.name
         self.vacant_since = None
--- a/peathall/leadership/lease.py
+++ b/peathall/leadership/lease.py
@@ -17,11 +17,13 @@
         self.renewed(sent)
 
     def renewed(self, sent: float) -> None:
+        """A renewal that was sent at this time was answered."""
         self.until = max(
             self.until, sent + self.ttl_s * (1 - 2 * constants.DRIFT) - constants.LEAD_MARGIN_S
         )
 
     def alive(self, now: float) -> bool:
+        """Whether nobody else can hold the lead yet."""
         return now < self.until
 
 
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -35,6 +35,8 @@
 
 
 class Node:
+    """One controller: its listeners, and where each request goes."""
+
     def __init__(
         self,
         settings: Settings,
@@ -48,6 +50,7 @@
         self.rng = rng or random.Random()
 
     def assemble(self) -> None:
+        """Make the parts, once a loop runs."""
         settings = self.settings
         self.loop = asyncio.get_running_loop()
         self.store = StateClient(
@@ -68,6 +71,7 @@
         self.back = HttpServer(self.peers.serve, int(sockets * constants.PEER_SHARE))
 
     async def run(self) -> None:
+        """Serve until the process ends."""
         self.assemble()
         gc.set_threshold(constants.GC_OBJECTS)
         gc.freeze()  # what start-up made stays: later collections need not look at it
@@ -270,6 +274,7 @@
 
 
 def user_response(answer: Answer) -> Response:
+    """An answer for a user as an HTTP response."""
     status, value = answer
     retry = constants.RETRY_AFTER_S if status in (429, 503, 504) else None
     return body.cbor_response(status, value if value is not None else {}, retry)
--- a/peathall/peers/service.py
+++ b/peathall/peers/service.py
@@ -15,7 +15,9 @@
 
 log = logging.getLogger("peathall.peers")
 
-KNOCKS = "knocks"  # the query of a ping that asks for them
+# The query of a ping that asks for workers turned away, and the field that names them. Sent between
+# controllers of different versions: the spelling stays.
+TURNED_AWAY = "knocks"
 
 Handle = Callable[[dict[str, Any]], Awaitable[tuple[int, Any]]]
 
@@ -34,6 +36,8 @@
 
 
 class Peers:
+    """Pings of the other controllers, and what they tell."""
+
     def __init__(self, peers: list[Peer], handle: Handle) -> None:
         self.views = {peer.name: PeerView(peer) for peer in peers}
         self.handle = handle
@@ -44,10 +48,11 @@
 
     # --- serving -------------------------------------------------------------
     async def serve(self, request: Request) -> Response:
+        """A request of another controller."""
         if request.method == "GET" and request.path == "/ping":
             told: dict[str, Any] = {"leads": self.leads()}
-            if request.query == KNOCKS:
-                told["knocks"] = self.turned_away_lately(self.loop.time())
+            if request.query == TURNED_AWAY:
+                told[TURNED_AWAY] = self.turned_away_lately(self.loop.time())
             return json_response(200, told)
         if request.method == "POST" and request.path == "/forward":
             try:
@@ -106,24 +111,26 @@
             raise NoAnswerError("garbled answer", sent=True) from None
 
     async def ping_all(self) -> None:
+        """Look at each peer, time and again."""
         while True:
             await asyncio.gather(*(self._ping(view) for view in self.views.values()))
             await asyncio.sleep(constants.PING_S)
 
     async def _ping(self, view: PeerView) -> None:
         try:
-            # Only a leader needs to know who knocks elsewhere.
-            path = f"/ping?{KNOCKS}" if self.leads() else "/ping"
+            # Only a leader needs to know which workers report elsewhere.
+            path = f"/ping?{TURNED_AWAY}" if self.leads() else "/ping"
             _, raw = await view.client.request("GET", path, b"", constants.PING_S)
             told = orjson.loads(raw)
-            knocks = told.get("knocks", {})
-            view.turned_away = {str(k): (int(a), int(b)) for k, (a, b) in knocks.items()}
+            turned_away = told.get(TURNED_AWAY, {})
+            view.turned_away = {str(k): (int(a), int(b)) for k, (a, b) in turned_away.items()}
             view.leads = bool(told["leads"])
             view.heard = self.loop.time()
         except (NoAnswerError, ValueError, KeyError, TypeError, AttributeError):
             view.turned_away, view.leads = {}, False
 
     def heard_any(self, now: float, within: float) -> bool:
+        """Whether some peer answered lately."""
         return any(now - view.heard < within for view in self.views.values())
 
     def leading(self) -> str | None:
@@ -141,4 +148,5 @@
 
 
 def json_response(status: int, value: Any) -> Response:
+    """A response between controllers."""
     return Response(status, orjson.dumps(value), "application/json")
--- a/peathall/placement/ordering.py
+++ b/peathall/placement/ordering.py
@@ -69,6 +69,7 @@
 
 
 def order(job: JobView, totals: tuple[float, float]) -> tuple[float, ...]:
+    """The sort key of a job among all that wait."""
     # Gangs go before independent tasks of their priority: those fill any gap that is
     # left, while a gang would wait for ever for a gap as large as itself.
     spec = job.spec
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -25,6 +25,8 @@
 
 
 class Placement:
+    """The leader's rounds, and the effects of their plans."""
+
     def __init__(
         self,
         cluster: ClusterState,
@@ -52,6 +54,7 @@
 
     # --- rounds --------------------------------------------------------------
     def request_round(self) -> None:
+        """Something changed: decide again soon."""
         self.wake.set()
 
     async def run(self) -> None:
@@ -72,6 +75,7 @@
             )
 
     async def round(self, now: float) -> None:
+        """Decide, stop, move and start."""
         plan = await self.decide(now)
         self.unplaced, self.spare_room = plan.unplaced, plan.spare_room
         self.on_unplaced()
--- a/peathall/placement/snapshot.py
+++ b/peathall/placement/snapshot.py
@@ -189,6 +189,7 @@
 
     @staticmethod
     def has_aged(job: Job, now: float) -> bool:
+        """Whether none of its tasks has had a place for so long that it goes first."""
         return now - job.idle_since > constants.AGED_S - gathering_s(job.spec)
 
     def _fetch_s(self, spec: JobSpec) -> float:
--- a/peathall/placement/views.py
+++ b/peathall/placement/views.py
@@ -87,6 +87,8 @@
 
 
 class MachineView:
+    """A machine in one round: its room, its images and who is there."""
+
     __slots__ = (
         "_detail",
         "cpus",
@@ -150,6 +152,7 @@
         return min(fits_in(self.free, spec), self.slots)
 
     def take(self, spec: JobSpec, count: int) -> None:
+        """Room for so many tasks is used; a negative count gives it back."""
         self.slots -= count
         self.replicas += spec.daemon * count
         self.free[0] -= spec.cpus * count
@@ -194,6 +197,8 @@
 
 
 class JobView:
+    """A job in one round: how many tasks wait, and what matters for their order."""
+
     __slots__ = (
         "aged",
         "avoid",
@@ -246,6 +251,8 @@
 
 
 class Start:
+    """Some tasks of a job are to start on a machine."""
+
     __slots__ = ("count", "job", "machine")
 
     def __init__(self, job: str, machine: str, count: int) -> None:
@@ -263,6 +270,8 @@
 
 
 class Plan:
+    """What a round decided."""
+
     def __init__(self) -> None:
         self.starts: list[Start] = []
         self.stops: list[tuple[str, int]] = []  # (job, task) to be stopped with time to save
@@ -272,6 +281,7 @@
 
 
 def fits_in(free: Sequence[float], spec: JobSpec) -> int:
+    """How many tasks of the job fit into so many CPUs, GPUs and GB."""
     count = spec.tasks
     if spec.cpus > 0:
         count = min(count, int((free[0] + EPS) / spec.cpus))
@@ -283,6 +293,7 @@
 
 
 def allowed(machine: MachineView | Group, spec: JobSpec) -> bool:
+    """Whether the job may use such machines at all."""
     return (
         (spec.types is None or machine.type in spec.types)
         and (spec.zone is None or machine.zone == spec.zone)
--- a/peathall/settings.py
+++ b/peathall/settings.py
@@ -22,17 +22,23 @@
 
 
 class Peer(Struct, frozen=True):
+    """Another controller."""
+
     name: Name = field(name="member")
     zone: str = field(name="location")
     addr: Address = field(name="endpoint")
 
 
 class Services(Struct, frozen=True):
+    """Addresses of the cloud and of the state service."""
+
     cloud: Address
     state: Address
 
 
 class Team(Struct, frozen=True):
+    """A team's guarantee and limit; 0 means none."""
+
     name: Name
     cpus: NotNegative = 0.0
     cpus_max: NotNegative = 0.0
@@ -41,6 +47,8 @@
 
 
 class Objective(Struct, frozen=True):
+    """An aim for a class of jobs."""
+
     kind: str
     class_name: str | None = field(name="class", default=None)
     within_s: float | None = None
@@ -49,6 +57,8 @@
 
 
 class WorkerSettings(Struct, frozen=True):
+    """Times that the workers keep to."""
+
     report_s: Positive
     lease_s: Positive
     gang_wait_s: Positive
@@ -72,6 +82,8 @@
 
 
 class StateSettings(Struct, frozen=True):
+    """Limits of the state service."""
+
     rps: Positive
     write_rps: Positive
     value_kb: Positive
@@ -89,17 +101,23 @@
 
 
 class CloudSettings(Struct, frozen=True):
+    """Limits of the cloud."""
+
     rps: Positive
     list_lag_s: NotNegative
 
 
 class Limits(Struct, frozen=True):
+    """Of the machine that a controller runs on."""
+
     cpu_share: Positive = 1.0
     ram_mb: Positive = 1024.0
     fd_limit: Annotated[int, Meta(ge=32)] = 1024
 
 
 class Params(Struct, frozen=True):
+    """What all controllers of a site have in common."""
+
     workers: WorkerSettings
     state: StateSettings
     cloud: CloudSettings
@@ -112,6 +130,8 @@
 
 
 class Settings(Struct, frozen=True):
+    """The platform's settings file."""
+
     name: Name = field(name="member")
     zone: str = field(name="location")
     listen: Address = field(name="api_addr")
@@ -128,11 +148,13 @@
 
 
 def split_addr(addr: str) -> tuple[str, int]:
+    """Host and port."""
     host, _, port = addr.rpartition(":")
     return host, int(port)
 
 
 def parse(text: str) -> Settings:
+    """Settings from the text of their file, checked."""
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as exc:
@@ -157,6 +179,7 @@
 
 
 def load(path: str | os.PathLike[str]) -> Settings:
+    """Settings from their file, checked."""
     try:
         with open(path, encoding="utf-8") as handle:
             return parse(handle.read())
--- a/peathall/store/budget.py
+++ b/peathall/store/budget.py
@@ -17,6 +17,7 @@
         self.at = now
 
     def set_rate(self, rate: float, now: float) -> None:
+        """From now on so many a second."""
         self._refill(now)
         self.rate = rate
         self.burst = max(1.0, rate)
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -41,12 +41,16 @@
 
 
 class Item(Struct):
+    """A record as it is stored."""
+
     key: str
     value: Any
     version: int
 
 
 class Change(Struct):
+    """News of a record from a watch."""
+
     key: str
     version: int
     value: Any = None
@@ -54,11 +58,14 @@
 
 
 class Put(Struct):
+    """Write a record."""
+
     key: str
     value: Any
     lease: int | None = None
 
     def to_wire(self) -> dict[str, Any]:
+        """As the protocol writes it."""
         wire = {"write": self.key, "data": self.value}
         if self.lease is not None:
             wire["tenancy"] = self.lease
@@ -66,9 +73,12 @@
 
 
 class Drop(Struct):
+    """Delete a record."""
+
     key: str
 
     def to_wire(self) -> dict[str, Any]:
+        """As the protocol writes it."""
         return {"drop": self.key}
 
 
@@ -82,6 +92,7 @@
         self._next: asyncio.Task[None] | None = None
 
     async def fresh(self) -> None:
+        """Wait for a read that begins after this call."""
         if self._next is None:
             # A read that is on its way may have been carried out before this call.
             self._next = asyncio.create_task(self._read_after(self._reading))
@@ -96,6 +107,8 @@
 
 
 class StateClient:
+    """The state service's calls, within this controller's part of its budgets."""
+
     def __init__(self, addr: str, limits: StateSettings, controllers: int) -> None:
         self.limits = limits
         self.followers = max(1, controllers - 1)
@@ -108,6 +121,7 @@
         self.failing = False  # the latest request was not answered, or refused
 
     def set_leading(self, leading: bool) -> None:
+        """The leader and its followers have different parts of the budgets."""
         now = self.loop.time()
         self.requests.set_rate(
             self.limits.rps * self._share(constants.LEADER_RPS_SHARE, leading), now
@@ -121,6 +135,7 @@
         return self.loop.time() - self.last_good < constants.STORE_FRESH_S and not self.failing
 
     def spare_writes(self) -> float:
+        """Changes that the budget has to spare now."""
         return self.writes.spare(self.loop.time())
 
     def _share(self, leaders: float, leading: bool) -> float:
@@ -165,6 +180,7 @@
             raise StoreDoubtError(f"garbled answer: {exc}") from None
 
     async def get(self, key: str, first: bool = False) -> Item | None:
+        """One record, or None."""
         await self._budget(first=first)
         status, raw = await self._ask("GET", f"/store/{quote(key)}")
         if status == 200:
@@ -194,6 +210,7 @@
             after = raw["items"][-1]["k"]
 
     async def commit(self, conditions: dict[str, int], ops: list[Put | Drop]) -> int:
+        """Carry out a transaction; the revision."""
         await self._budget(len(ops))
         wire = {
             "when": [{"k": key, "stamp": version} for key, version in conditions.items()],
@@ -211,6 +228,7 @@
         raise StoreError(f"commit: {status} {raw}")
 
     async def lease(self, ttl_s: float) -> int:
+        """A new lease."""
         self.requests.spend(1, self.loop.time())
         status, raw = await self._ask("POST", "/leases", {"ttl_ms": int(ttl_s * 1000)})
         if status != 200:
@@ -218,6 +236,7 @@
         return int(raw["tenancy"])
 
     async def renew(self, lease: int, timeout: float) -> None:
+        """Renew a lease; LeaseGoneError if it has ended."""
         self.requests.spend(1, self.loop.time())
         status, _ = await self._ask("POST", f"/leases/{lease}/renew", {}, timeout)
         if status == 404:
@@ -226,6 +245,7 @@
             raise StoreError(f"renew: {status}")
 
     async def end_lease(self, lease: int) -> None:
+        """End a lease at once."""
         self.requests.spend(1, self.loop.time())
         await self._ask("DELETE", f"/leases/{lease}")
 
--- a/peathall/store/shared_records.py
+++ b/peathall/store/shared_records.py
@@ -77,6 +77,7 @@
             self.writer.ask_first(self.stem, self._make)
 
     def close(self) -> None:
+        """The term is over: what still waits is given up."""
         for entry in self.waiting:
             entry.stored.cancel()
         self.waiting.clear()
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -15,6 +15,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Any
 
@@ -70,7 +71,58 @@
         self.lease = lease
 
 
+class Batch:
+    """Changes that fit into one transaction: its limits, and no key touched twice."""
+
+    def __init__(self, most_ops: int) -> None:
+        self.most_ops = most_ops
+        self.changes: list[Change] = []
+        self.ops = 0
+        self._size = 0
+        self._checks = 0
+        self._keys: set[str] = set()
+
+    def add(self, change: Change) -> bool:
+        """Take the change if it fits; the first one always does."""
+        touched = {op.key for op in change.ops} | set(change.conditions)
+        if self.changes and not self._fits(change, touched):
+            return False
+        self.changes.append(change)
+        self.ops += len(change.ops)
+        self._size += change.size
+        self._checks += len(touched)
+        self._keys |= touched
+        return True
+
+    def _fits(self, change: Change, touched: set[str]) -> bool:
+        return (
+            self.ops + len(change.ops) <= self.most_ops
+            and self._size + change.size <= constants.TXN_BYTES
+            and self._checks + len(touched) < constants.TXN_CONDITIONS * self.most_ops
+            and not touched & self._keys
+        )
+
+
+@dataclass(slots=True)
+class Transaction:
+    """A batch on its way to the store."""
+
+    batch: list[Change]
+    ops: list[Put | Drop]
+    conditions: dict[str, int]  # key -> version
+    doubt: bool = False  # a try got no answer: it may have been, or may yet be, carried out
+    refused: bool = False
+
+    def note_refusal(self, error: Exception) -> None:
+        """It is repeated, which is logged once."""
+        if not self.refused:
+            log.info("commit refused, repeating it: %s", error)
+        self.refused = True
+
+
 class WriterPhase(Enum):
+    """What the one transaction in flight is doing."""
+
     IDLE = auto()
     COMMITTING = auto()
     IN_DOUBT = auto()  # no answer to a commit: repeat it, write nothing else
@@ -78,6 +130,8 @@
 
 
 class Writer:
+    """All of a leader's writes, one transaction at a time."""
+
     def __init__(
         self,
         store: StateClient,
@@ -142,9 +196,11 @@
             self.wake.set()
 
     def offer_drop(self, key: str) -> None:
+        """Delete a record once there is budget to spare."""
         self.offer(f"drop {key}", lambda: Change({}, [Drop(key)]))
 
     def stop(self) -> None:
+        """The term is over: what still waits fails."""
         self._enter(WriterPhase.STOPPED)
         self.first.clear()
         self.spare.clear()
@@ -161,53 +217,42 @@
 
     def _take(self) -> list[Change]:
         """The oldest changes that fit into one transaction and touch no key twice."""
-        batch: list[Change] = []
-        keys: set[str] = set()
-        ops = size = checks = 0
-
-        def add(change: Change) -> bool:
-            nonlocal ops, size, checks, keys
-            touched = {op.key for op in change.ops} | set(change.conditions)
-            if batch and (
-                ops + len(change.ops) > self.limits.txn_ops
-                or size + change.size > constants.TXN_BYTES
-                or checks + len(touched) >= 4 * self.limits.txn_ops
-                or touched & keys
-            ):
-                return False
-            ops += len(change.ops)
-            size += change.size
-            checks += len(touched)
-            keys |= touched
-            batch.append(change)
-            return True
-
-        for name in list(self.first):
-            gathered = self.first.pop(name)()
-            if gathered is not None and not add(gathered):
-                self.queue.insert(0, gathered)
+        batch = Batch(self.limits.txn_ops)
+        self._take_first(batch)
         taken = 0
         for change in self.queue:
-            if not add(change):
+            if not batch.add(change):
                 break
             taken += 1
         del self.queue[:taken]
-        left = self.store.spare_writes() - ops if self.spare else 0
+        if self.spare:
+            self._take_spare(batch)
+        return batch.changes
+
+    def _take_first(self, batch: Batch) -> None:
+        for name in list(self.first):
+            gathered = self.first.pop(name)()
+            if gathered is not None and not batch.add(gathered):
+                self.queue.insert(0, gathered)
+
+    def _take_spare(self, batch: Batch) -> None:
+        """What may wait, as far as there is budget to spare; or the one that is due."""
+        left = self.store.spare_writes() - batch.ops
         due = self._due() if left < 1 else None
         for name in list(self.spare) if due is None else [due]:
-            if ops >= self.limits.txn_ops or (left < 1 and due is None):
-                break
+            if batch.ops >= self.limits.txn_ops or (left < 1 and due is None):
+                return
             self.must.pop(name, None)
             offered = self.spare.pop(name)()
             if offered is None:
                 continue
             left -= len(offered.ops)
-            if not add(offered):
+            if not batch.add(offered):
                 self.queue.append(offered)  # it was made, so it must be written
-                break
-        return batch
+                return
 
     async def run(self) -> None:
+        """Write what is queued, until stopped."""
         while self.phase is not WriterPhase.STOPPED:
             if not (self.queue or self.first or self.spare):
                 self.wake.clear()
@@ -234,51 +279,27 @@
             pass
 
     async def _commit(self, batch: list[Change]) -> None:
-        conditions = {self.lead.key: self.lead.version}
-        ops: list[Put | Drop] = []
-        for change in batch:
-            for op in change.ops:
-                conditions[op.key] = self.versions.get(op.key, 0)
-            conditions.update(change.conditions)
-            ops += change.ops
-        doubt = refused = False
+        """Until its fate is known, or the lead is another's."""
+        transaction = self._transaction(batch)
         while self.phase is not WriterPhase.STOPPED:
             try:
-                revision = await self._tried(ops, conditions) if doubt else 0
-                revision = revision or await self.store.commit(conditions, ops)
+                revision = await self._try(transaction)
             except StoreDoubtError as exc:
                 log.info("no answer to a commit, or to whether it was carried out: %s", exc)
-                doubt = True
+                transaction.doubt = True
                 self._enter(WriterPhase.IN_DOUBT)
                 await asyncio.sleep(constants.STORE_RETRY_S)
             except InvalidError as exc:
-                # Larger than is allowed, or more at once: repeating it would hold up all others
-                # for ever. Whichever of them it is, the others go on without it.
-                log.error("the state service does not take a commit: %s", exc)
-                if len(batch) == 1:
-                    self._settle(batch, exc)
-                for change in batch if len(batch) > 1 else ():
-                    await self._commit([change])
-                return
+                if await self._give_up_invalid(transaction, exc):
+                    return
+                break
             except (StoreError, LeaseGoneError) as exc:
-                if not refused:
-                    log.info("commit refused, repeating it: %s", exc)
-                    refused = True
+                transaction.note_refusal(exc)
                 await asyncio.sleep(constants.STORE_RETRY_S)
             except ConflictError as exc:
-                if self.lead.key in exc.failed:
-                    break
-                if doubt:
-                    # Our own earlier try may be what changed the records: look once more, now
-                    # that a further one has been refused for good.
-                    applied = await self._until_known(ops, conditions)
-                    if applied:
-                        self._applied(batch, applied)
-                        return
-                    if not await self._fence():
-                        break
-                await self._split(batch, exc.failed)
-                return
+                if await self._resolve_conflict(transaction, exc):
+                    return
+                break
             else:
                 self._applied(batch, revision)
                 return
@@ -287,6 +308,52 @@
         if deposed:
             self.on_deposed()
 
+    def _transaction(self, batch: list[Change]) -> Transaction:
+        conditions = {self.lead.key: self.lead.version}
+        ops: list[Put | Drop] = []
+        for change in batch:
+            for op in change.ops:
+                conditions[op.key] = self.versions.get(op.key, 0)
+            conditions.update(change.conditions)
+            ops += change.ops
+        return Transaction(batch, ops, conditions)
+
+    async def _try(self, transaction: Transaction) -> int:
+        """The revision at which it is carried out, by now or by an earlier try."""
+        ops, conditions = transaction.ops, transaction.conditions
+        revision = await self._tried(ops, conditions) if transaction.doubt else 0
+        return revision or await self.store.commit(conditions, ops)
+
+    async def _give_up_invalid(self, transaction: Transaction, error: InvalidError) -> bool:
+        """Larger than is allowed, or more at once: repeating it would hold up all others for
+        ever. Whichever change it is, the others go on without it. False if the lead is lost."""
+        log.error("the state service does not take a commit: %s", error)
+        if transaction.doubt and not await self._fence():
+            return False
+        batch = transaction.batch
+        if len(batch) == 1:
+            self._settle(batch, error)
+            return True
+        for change in batch:
+            await self._commit([change])
+        return True
+
+    async def _resolve_conflict(self, transaction: Transaction, error: ConflictError) -> bool:
+        """A condition does not hold. False if the lead is lost."""
+        if self.lead.key in error.failed:
+            return False
+        if transaction.doubt:
+            # Our own earlier try may be what changed the records: look once more, now that a
+            # further one has been refused for good.
+            applied = await self._until_known(transaction.ops, transaction.conditions)
+            if applied:
+                self._applied(transaction.batch, applied)
+                return True
+            if not await self._fence():
+                return False
+        await self._split(transaction.batch, error.failed)
+        return True
+
     async def _tried(self, ops: list[Put | Drop], conditions: dict[str, int]) -> int:
         """After a doubt: the revision at which our own earlier try went through, 0 if none did.
 
--- a/peathall/wire/body.py
+++ b/peathall/wire/body.py
@@ -16,6 +16,7 @@
 
 
 def cbor_map(body: bytes) -> dict[str, Any]:
+    """A request's body; MalformedError unless it is a map with text keys."""
     if not body or len(body) > constants.MAX_BODY:
         raise MalformedError("empty or too large")
     try:
@@ -29,14 +30,17 @@
 
 
 def cbor_any(body: bytes) -> Any:
+    """Whatever the body holds; None if it is empty."""
     return cbor2.loads(body) if body else None
 
 
 def cbor_bytes(value: Any) -> bytes:
+    """A value as CBOR."""
     return cbor2.dumps(value)
 
 
 def cbor_response(status: int, value: Any, retry_after: int | None = None) -> Response:
+    """A response with a CBOR body."""
     return Response(status, cbor2.dumps(value), retry_after=retry_after)
 
 
--- a/peathall/wire/http.py
+++ b/peathall/wire/http.py
@@ -31,6 +31,8 @@
 
 
 class Request:
+    """A request as it was received."""
+
     __slots__ = ("body", "method", "path", "query")
 
     def __init__(self, method: str, path: str, query: str, body: bytes) -> None:
@@ -41,6 +43,8 @@
 
 
 class Response:
+    """A response to be sent."""
+
     __slots__ = ("body", "close", "content_type", "retry_after", "status")
 
     def __init__(
@@ -58,6 +62,7 @@
         self.close = close
 
     def encode(self) -> bytes:
+        """The bytes on the wire."""
         head = (
             f"HTTP/1.1 {self.status} {REASONS.get(self.status, 'Status')}\r\n"
             f"Content-Type: {self.content_type}\r\nContent-Length: {len(self.body)}\r\n"
@@ -73,6 +78,8 @@
 
 
 class ConnectionPhase(Enum):
+    """A caller's connection: one request at a time."""
+
     IDLE = auto()  # between requests
     READING = auto()  # a request is arriving
     SERVING = auto()  # the handler is at work
@@ -100,20 +107,24 @@
             self.since = self.server.loop.time()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """asyncio: a caller has connected."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self._enter(ConnectionPhase.IDLE)
         self.server.admit(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """asyncio: the connection is gone."""
         self._enter(ConnectionPhase.CLOSED)
         self.server.connections.pop(self, None)
 
     def close(self) -> None:
+        """End the connection."""
         if self.transport is not None:
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        """asyncio: bytes have arrived."""
         if self.phase is ConnectionPhase.CLOSED:
             return
         if self.phase is ConnectionPhase.SERVING:
@@ -144,16 +155,20 @@
 
     # httptools callbacks
     def on_message_begin(self) -> None:
+        """httptools: a request begins."""
         self.url = b""
         self.body = []
 
     def on_url(self, url: bytes) -> None:
+        """httptools: a part of the path and query."""
         self.url += url
 
     def on_body(self, body: bytes) -> None:
+        """httptools: a part of the body."""
         self.body.append(body)
 
     def on_message_complete(self) -> None:
+        """httptools: the request is complete."""
         if self.phase is not ConnectionPhase.READING:
             return
         body = b"".join(self.body)
@@ -200,6 +215,7 @@
         self._sweeper: asyncio.TimerHandle | None = None
 
     async def start(self, host: str, port: int) -> None:
+        """Listen."""
         self._server = await self.loop.create_server(
             lambda: ServerConnection(self),
             host,
@@ -212,6 +228,7 @@
 
     @property
     def port(self) -> int:
+        """The port that it listens on."""
         assert self._server is not None
         return int(self._server.sockets[0].getsockname()[1])
 
@@ -221,6 +238,7 @@
         return len(self.connections) > constants.CROWDED * self.max_connections
 
     def admit(self, connection: ServerConnection) -> None:
+        """A new caller; beyond the limit the idlest one has to go."""
         self.connections[connection] = None
         if len(self.connections) > self.max_connections:
             idle = [x for x in self.connections if x.phase is not ConnectionPhase.SERVING]
@@ -239,6 +257,7 @@
         self._sweeper = self.loop.call_later(constants.SWEEP_S, self._sweep)
 
     def close(self) -> None:
+        """Stop listening, and end all connections."""
         if self._sweeper is not None:
             self._sweeper.cancel()
         if self._server is not None:
@@ -256,6 +275,8 @@
 
 
 class ClientConnection(asyncio.Protocol):
+    """A connection to a server."""
+
     def __init__(self) -> None:
         self.transport: asyncio.Transport | None = None
         self.parser: httptools.HttpResponseParser | None = None
@@ -266,10 +287,12 @@
         self.idle_since = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """asyncio: connected."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """asyncio: the connection is gone."""
         self.closed = True
         self._fail("connection lost")
 
@@ -278,6 +301,7 @@
             self.answer.set_exception(NoAnswerError(why, sent=True))
 
     def data_received(self, data: bytes) -> None:
+        """asyncio: bytes have arrived."""
         if self.parser is None:
             self.abort()
             return
@@ -288,15 +312,18 @@
             self.abort()
 
     def on_body(self, body: bytes) -> None:
+        """httptools: a part of the body."""
         self.body.append(body)
 
     def on_message_complete(self) -> None:
+        """httptools: the answer is complete."""
         assert self.parser is not None
         self.reusable = self.parser.should_keep_alive()
         if self.answer is not None and not self.answer.done():
             self.answer.set_result((self.parser.get_status_code(), b"".join(self.body)))
 
     def send(self, data: bytes) -> asyncio.Future[tuple[int, bytes]]:
+        """Send a request; the future gives status and body."""
         assert self.transport is not None
         self.parser = httptools.HttpResponseParser(self)
         self.body = []
@@ -305,6 +332,7 @@
         return self.answer
 
     def abort(self) -> None:
+        """End the connection."""
         self.closed = True
         if self.transport is not None:
             self.transport.abort()
@@ -350,6 +378,7 @@
     async def request(
         self, method: str, path: str, body: bytes = b"", timeout: float = 5.0
     ) -> tuple[int, bytes]:
+        """Status and body of the answer, or NoAnswerError."""
         self.busy += 1
         try:
             return await self._request(method, path, body, timeout)
@@ -384,6 +413,7 @@
         return answer
 
     def close(self) -> None:
+        """End the connections that are not in use."""
         for connection in self.idle:
             connection.abort()
         self.idle.clear()
--- a/peathall/wire/names.py
+++ b/peathall/wire/names.py
@@ -23,6 +23,8 @@
 
 
 class Priority(IntEnum):
+    """Of a job; less comes first."""
+
     CRITICAL = 0
     HIGH = 1
     STANDARD = 2
@@ -30,6 +32,8 @@
 
 
 class TaskState(Enum):
+    """Of a task in a worker's report."""
+
     FETCHING = "pulling"
     WAITING = "waiting"
     RUNNING = "running"
@@ -38,6 +42,8 @@
 
 
 class Why(Enum):
+    """Why a task has ended."""
+
     DONE = "done"
     STOPPED = "halted"
     PEERS = "mates_gone"
@@ -53,6 +59,8 @@
 
 
 class Standing(Enum):
+    """Of a job, as its user is told."""
+
     QUEUED = "queued"
     RUNNING = "running"
     DONE = "done"
@@ -65,6 +73,8 @@
 
 
 class WireJob(Struct):
+    """A submission as the protocol writes it."""
+
     id: JobId
     docket: Text
     desk: Text
@@ -120,6 +130,7 @@
 
 
 def job_from_wire(raw: dict[str, Any], submitted: float) -> JobSpec:
+    """The job of a submission; MalformedError if it is none."""
     try:
         job = msgspec.convert(raw, WireJob)
     except msgspec.ValidationError as exc:
@@ -163,19 +174,24 @@
 
 
 def spec_to_record(spec: JobSpec) -> dict[str, Any]:
+    """The job as it is stored."""
     record: dict[str, Any] = msgspec.to_builtins(spec)
     return record
 
 
 def spec_from_record(record: dict[str, Any]) -> JobSpec:
+    """The job as it was stored; fields that are not known are ignored."""
     return msgspec.convert(record, JobSpec)
 
 
 def job_status(job_id: str, standing: Standing, done: int = 0, running: int = 0) -> dict[str, Any]:
+    """The body of an answer about a job."""
     return {"id": job_id, "standing": standing.value, "done": done, "running": running}
 
 
 class WireTask(Struct, frozen=True):
+    """A task in a report as the protocol writes it."""
+
     parcel: str
     attempt: int = field(name="try")
     standing: str
@@ -184,6 +200,8 @@
 
 
 class WireReport(Struct):
+    """A report as the protocol writes it."""
+
     hall: Text
     tenure: Annotated[int, Meta(ge=0)]
     tick: Annotated[int, Meta(ge=0)]
@@ -214,6 +232,8 @@
 
 
 class Report(Struct):
+    """A worker's report."""
+
     machine: str
     addr: str
     type: str
@@ -227,11 +247,13 @@
 
 
 def task_from_wire(name: str) -> tuple[str, int]:
+    """Job and number of a task's name."""
     job, _, number = name.rpartition("/")
     return job, int(number)
 
 
 def task_to_wire(job: str, task: int) -> str:
+    """A task's name."""
     return f"{job}/{task}"
 
 
@@ -248,6 +270,7 @@
 
 
 def report_from_wire(raw: dict[str, Any]) -> Report:
+    """The report of a check-in; MalformedError if it is none."""
     try:
         wire = msgspec.convert(raw, WireReport)
         tasks = [task_report(item) for item in wire.parcels]
@@ -268,10 +291,12 @@
 
 
 def start_order(job: str, task: int, attempt: int) -> dict[str, Any]:
+    """An order to start a task."""
     return {"writ": "start", "parcel": task_to_wire(job, task), "try": attempt}
 
 
 def stop_order(job: str, task: int, attempt: int, grace: float) -> dict[str, Any]:
+    """An order to stop a task within so many seconds."""
     return {
         "writ": "stop",
         "parcel": task_to_wire(job, task),
@@ -281,18 +306,23 @@
 
 
 def forget_order(job: str, task: int, attempt: int) -> dict[str, Any]:
+    """An order to leave an ended task out of the reports."""
     return {"writ": "forget", "parcel": task_to_wire(job, task), "try": attempt}
 
 
 def checkin_answer(token: int, orders: list[dict[str, Any]]) -> dict[str, Any]:
+    """The body of the answer to a report."""
     return {"mandate": token, "writs": orders}
 
 
 def direct_orders(token: int, session: int, orders: list[dict[str, Any]]) -> dict[str, Any]:
+    """The body of direct orders."""
     return {"mandate": token, "tenure": session, "writs": orders}
 
 
 class MachineType(Struct, frozen=True):
+    """A type of machine that the cloud rents."""
+
     name: str
     cpus: float
     gpus: float
@@ -306,6 +336,7 @@
 
 
 def machine_type_from_wire(raw: dict[str, Any]) -> MachineType:
+    """A machine type as the cloud describes it."""
     price = float(raw.get("rate") or 0.0)
     return MachineType(
         name=str(raw["label"]),
@@ -322,6 +353,8 @@
 
 
 class ListedMachine(Struct, frozen=True):
+    """A machine of the cloud's list."""
+
     name: str
     addr: str
     type: str
@@ -332,6 +365,7 @@
 
 
 def listed_from_wire(raw: dict[str, Any]) -> ListedMachine:
+    """A machine as the list describes it."""
     return ListedMachine(
         name=str(raw["id"]),
         addr=str(raw.get("endpoint") or ""),
--- a/peathall/workers/caches.py
+++ b/peathall/workers/caches.py
@@ -30,6 +30,7 @@
         self.members: dict[str, dict[str, None]] = {}  # record -> machines in it
 
     def load(self, items: list[Item]) -> None:
+        """After a take-over: what was remembered."""
         for item in items:
             self.writer.versions[item.key] = item.version
             for name, images in item.value["machines"].items():
--- a/peathall/workers/faults.py
+++ b/peathall/workers/faults.py
@@ -15,6 +15,8 @@
 
 
 class FaultTracker:
+    """Tells sick machines from mistaken jobs by what both did elsewhere."""
+
     def __init__(self, cluster: ClusterState) -> None:
         self.cluster = cluster
         self.on_suspects: Callable[[], None] = lambda: None  # one more, or one less
@@ -50,6 +52,7 @@
         return [machine] if sick else []
 
     def suspect(self, job: Job, strikes: int) -> None:
+        """The job may be mistaken: it has failed so many times."""
         job.enter_trust(Trust.SUSPECT)
         job.strikes = strikes
         self.watched[job.spec.id] = job
--- a/peathall/workers/health.py
+++ b/peathall/workers/health.py
@@ -53,11 +53,11 @@
         return self.silent_to_us_s(machine, now) > limit
 
     def most_heard(self, now: float) -> bool:
-        """Whether nearly all machines report as ever: who does not has a trouble of its own."""
+        """Whether most machines report as ever: who does not has a trouble of its own."""
         limit = constants.PROBE_HEARD_REPORTS * self.settings.report_s
         up = self.expected()
         heard = [m for m in up if m.deaf_since is None and self.silent_to_us_s(m, now) <= limit]
-        return len(heard) >= constants.SURE_SHARE * len(up)
+        return len(heard) >= constants.PROBE_HEARD_SHARE * len(up)
 
     def suspect_s(self) -> float:
         """So long after a machine's last report it takes no new work."""
--- a/peathall/workers/model.py
+++ b/peathall/workers/model.py
@@ -10,6 +10,8 @@
 
 
 class MachinePhase(Enum):
+    """From rented to gone."""
+
     BOOTING = auto()  # rented or listed, its worker has not reported yet
     UNHEARD = auto()  # known from an earlier term's records, not heard in this one
     UP = auto()  # its worker reports to us
@@ -19,6 +21,8 @@
 
 
 class Machine:
+    """A machine, its room, and what is known of its worker."""
+
     __slots__ = (
         "addr",
         "answered",
@@ -103,6 +107,7 @@
         return self.phase is MachinePhase.UP and self.confirmed and self.deaf_since is None
 
     def set_size(self, size: MachineType) -> None:
+        """Its type has become known."""
         dc, dg, dr = size.cpus - self.cpus, size.gpus - self.gpus, size.ram - self.ram
         self.cpus, self.gpus, self.ram = size.cpus, size.gpus, size.ram
         self.free_cpus += dc
@@ -110,6 +115,7 @@
         self.free_ram += dr
 
     def take(self, attempt: Attempt) -> None:
+        """An attempt takes its room."""
         spec = attempt.job.spec
         self.attempts[(spec.id, attempt.task)] = attempt
         self.free_cpus -= spec.cpus
@@ -118,6 +124,7 @@
         self.replicas += spec.daemon
 
     def give_back(self, attempt: Attempt, now: float) -> None:
+        """An attempt is gone."""
         spec = attempt.job.spec
         del self.attempts[(spec.id, attempt.task)]
         self.free_cpus += spec.cpus
@@ -139,6 +146,7 @@
         return new
 
     def fetching(self) -> set[str]:
+        """Images that are on their way here."""
         early = (AttemptPhase.PLANNED, AttemptPhase.INTENDED, AttemptPhase.SENT)
         return {
             a.job.spec.image
--- a/peathall/workers/probes.py
+++ b/peathall/workers/probes.py
@@ -25,7 +25,7 @@
         self._under_way: dict[str, asyncio.Task[None]] = {}  # by machine
 
     def tick(self, now: float) -> None:
-        """Begin probes of machines that have become silent, unless nearly all have."""
+        """Begin probes of machines that have become silent, unless many have."""
         silent = []
         for machine in self.health.expected():
             if not self.health.missed_a_report(machine, now):
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -47,6 +47,8 @@
 
 
 class Workers:
+    """The workers' reports, and the orders that answer them."""
+
     def __init__(
         self,
         cluster: ClusterState,
@@ -84,14 +86,17 @@
     # --- mandate and lease ---------------------------------------------------
     @property
     def base(self) -> int:
+        """The lowest token of this term."""
         return token(self.cluster.term, 0)
 
     @property
     def token(self) -> int:
+        """The token of answers now."""
         return token(self.cluster.term, self.counter)
 
     # --- check-ins -----------------------------------------------------------
     def checkin(self, report: Report, now: float) -> tuple[int, dict[str, Any] | None]:
+        """Answer a report."""
         if report.machine in self.cluster.deleted:
             # A late copy from a machine that no longer exists.
             return 503, None
@@ -130,6 +135,7 @@
         return 200, names.checkin_answer(self.token, self._orders(machine, now, direct=False))
 
     def _apply(self, machine: Machine, report: Report, now: float, conclusive: bool) -> None:
+        """Learn what a newer report says; only a `conclusive` one proves absence."""
         if machine.phase in (MachinePhase.BOOTING, MachinePhase.UNHEARD):
             log.info("machine %s (%s, %s) is up", machine.name, machine.type, machine.zone)
             machine.enter(MachinePhase.UP)
@@ -137,26 +143,42 @@
         if report.addr:
             machine.addr = report.addr
         if report.session > machine.session:
-            # The worker's lease ended: it killed all its tasks and forgot them. That says
-            # nothing of attempts whose session is not known: after a take-over, a late copy
-            # of an old report may have come first.
-            ended = [a for a in machine.attempts.values() if 0 < a.session < report.session]
-            if ended:
-                log.info("machine %s lost its lease, %d tasks lost", machine.name, len(ended))
-                for lost in ended:
-                    self.cluster.release(lost, now)
-                self._lost(ended, now)
-            self.exits.pop(machine.name, None)
+            self._new_session(machine, report, now)
         machine.session, machine.seq = report.session, report.seq
         machine.last_heard = now
-        noticed = False
-        if report.notice_s is not None and machine.taken_at is None:
-            machine.taken_at = now + report.notice_s
-            machine.why_draining = "spot notice"
-            machine.enter(MachinePhase.DRAINING)
-            log.info("machine %s will be taken in %.0f s", machine.name, report.notice_s)
-            noticed = True
-            self.on_change()
+        noticed = report.notice_s is not None and machine.taken_at is None
+        if noticed:
+            self._note_recall(machine, report, now)
+        present = self._note_tasks(machine, report, now)
+        if noticed:
+            self.on_notice(machine, now)
+        if conclusive and report.token >= self.base:
+            for attempt in list(machine.attempts.values()):
+                if attempt not in present:
+                    self._absent(machine, attempt, report.token, now)
+
+    def _new_session(self, machine: Machine, report: Report, now: float) -> None:
+        """The worker's lease ended: it killed all its tasks and forgot them. That says nothing of
+        attempts whose session is not known: after a take-over, a late copy of an old report may
+        have come first."""
+        ended = [a for a in machine.attempts.values() if 0 < a.session < report.session]
+        if ended:
+            log.info("machine %s lost its lease, %d tasks lost", machine.name, len(ended))
+            for lost in ended:
+                self.cluster.release(lost, now)
+            self._lost(ended, now)
+        self.exits.pop(machine.name, None)
+
+    def _note_recall(self, machine: Machine, report: Report, now: float) -> None:
+        seconds = report.notice_s or 0.0
+        machine.taken_at = now + seconds
+        machine.why_draining = "spot notice"
+        machine.enter(MachinePhase.DRAINING)
+        log.info("machine %s will be taken in %.0f s", machine.name, seconds)
+        self.on_change()
+
+    def _note_tasks(self, machine: Machine, report: Report, now: float) -> set[Attempt]:
+        """Our attempts among the tasks that the report names."""
         present: set[Attempt] = set()
         exits: dict[tuple[str, int, int], ExitedAttempt] = {}
         before = self.exits.get(machine.name, {})
@@ -182,16 +204,9 @@
                 unknown_tasks.append((item.job, item.task, item.attempt))
         self.exits[machine.name] = exits
         if unknown_tasks and report.token >= self.base:  # else perhaps an old report, come late
-            log.error(
-                "machine %s runs tasks that nobody asked for: %s", machine.name, unknown_tasks
-            )
+            log.error("machine %s runs unknown tasks: %s", machine.name, unknown_tasks)
         self.unknown_tasks[machine.name] = unknown_tasks
-        if noticed:
-            self.on_notice(machine, now)
-        if conclusive and report.token >= self.base:
-            for attempt in list(machine.attempts.values()):
-                if attempt not in present:
-                    self._absent(machine, attempt, report.token, now)
+        return present
 
     def _seen(self, machine: Machine, attempt: Attempt, item: TaskReport, now: float) -> None:
         if attempt.phase in (AttemptPhase.PLANNED, AttemptPhase.GONE):
@@ -277,6 +292,7 @@
             self.drain(machine, "it fails tasks that end well elsewhere")
 
     def drain(self, machine: Machine, why: str) -> None:
+        """The machine takes no new work, and is returned once it is empty."""
         if machine.enter(MachinePhase.DRAINING):
             machine.why_draining = why
             log.info("machine %s is emptied: %s", machine.name, why)
@@ -337,6 +353,15 @@
         return len(machine.attempts) + len(self.exits.get(machine.name, ()))
 
     def _orders(self, machine: Machine, now: float, direct: bool) -> list[dict[str, Any]]:
+        orders = self._attempt_orders(machine, now, direct)
+        if not direct:
+            orders += self._forget_orders(machine, constants.MACHINE_TASKS - len(orders))
+            unknown = self.unknown_tasks.get(machine.name, ())
+            orders += [names.stop_order(*task, 0.0) for task in unknown]
+        return orders
+
+    def _attempt_orders(self, machine: Machine, now: float, direct: bool) -> list[dict[str, Any]]:
+        """Starts and stops that are due; at most as many as an answer may hold."""
         orders: list[dict[str, Any]] = []
         usable = machine.confirmed and machine.phase in (MachinePhase.UP, MachinePhase.DRAINING)
         usable = usable and machine.deaf_since is None
@@ -349,31 +374,33 @@
                 continue
             if attempt.stopping:
                 orders.append(names.stop_order(job_id, task, attempt.number, attempt.grace))
-            elif attempt.phase in (AttemptPhase.INTENDED, AttemptPhase.SENT) and (
-                usable and attempt.job.phase is JobPhase.ACTIVE and self._own(attempt)
-            ):
+            elif usable and self._may_start(attempt):
                 orders.append(names.start_order(job_id, task, attempt.number))
                 attempt.enter(AttemptPhase.SENT, now)
                 attempt.session = machine.session
                 if direct:
                     self.direct[attempt] = self.token
-        if not direct:
-            for known in self.exits.get(machine.name, {}).values():
-                if len(orders) >= constants.MACHINE_TASKS:
-                    break
-                job = self.cluster.jobs.get(known.job)
-                stored = not known.done or job is None or job.over
-                if not stored and job is not None:
-                    stored = known.task in job.stored
-                if not stored:
-                    continue
-                if known.direct_token < self.token:  # else the next tick raises the mandate
-                    orders.append(names.forget_order(known.job, known.task, known.number))
-            orders += [
-                names.stop_order(*stray, 0.0) for stray in self.unknown_tasks.get(machine.name, ())
-            ]
         return orders
 
+    def _may_start(self, attempt: Attempt) -> bool:
+        early = attempt.phase in (AttemptPhase.INTENDED, AttemptPhase.SENT)
+        return early and attempt.job.phase is JobPhase.ACTIVE and self._own(attempt)
+
+    def _forget_orders(self, machine: Machine, most: int) -> list[dict[str, Any]]:
+        """For ended attempts whose end is stored, and whose starts can't arrive any more."""
+        orders: list[dict[str, Any]] = []
+        for known in self.exits.get(machine.name, {}).values():
+            if len(orders) >= most:
+                break
+            # Under our own token, the next tick raises it.
+            if self._end_is_stored(known) and known.direct_token < self.token:
+                orders.append(names.forget_order(known.job, known.task, known.number))
+        return orders
+
+    def _end_is_stored(self, known: ExitedAttempt) -> bool:
+        job = self.cluster.jobs.get(known.job)
+        return not known.done or job is None or job.over or known.task in job.stored
+
     def direct_message(self, machine: Machine) -> dict[str, Any] | None:
         """The orders that are due now, or None."""
         orders = self._orders(machine, self.loop.time(), direct=True)
@@ -386,6 +413,7 @@
 
     # --- time ----------------------------------------------------------------
     def tick(self, now: float) -> None:
+        """Every second: tokens, health, probes and leases."""
         # Raised every second: late direct starts are refused from then on, and the token
         # that a report shows tells which of our answers the worker has had.
         self.fence()
@@ -408,6 +436,7 @@
                     self.cluster.remove_machine(machine, now, "not heard since the take-over")
 
     def machine_gone(self, machine: Machine, now: float, why: str) -> None:
+        """The cloud's answer, or its list, proves that the machine is gone."""
         self.cluster.deleted.add(machine.name)
         self.exits.pop(machine.name, None)
         self.delivery.forget(machine)
--- a/peathall/workers/suspects.py
+++ b/peathall/workers/suspects.py
@@ -16,6 +16,8 @@
 
 
 class Suspects:
+    """The record of jobs that may be mistaken."""
+
     def __init__(self, cluster: ClusterState, faults: FaultTracker, writer: Writer) -> None:
         self.cluster = cluster
         self.faults = faults
@@ -23,6 +25,7 @@
         faults.on_suspects = self.changed
 
     def load(self, item: Item | None) -> None:
+        """After a take-over: which were."""
         if item is None:
             return
         self.writer.versions[SUSPECTS] = item.version
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -194,6 +194,23 @@
     assert store.data["b"][0] == 2
 
 
+def test_what_is_given_up_after_a_doubt_can_t_be_carried_out_late() -> None:
+    """Its answer was lost, and then the limits fell: the late try might meet the old ones."""
+
+    class Falling(FakeStore):
+        async def commit(self, conditions: dict[str, int], ops: list[Any]) -> int:
+            if self.commits and any(isinstance(op, Put) and op.key == "a" for op in ops):
+                raise InvalidError("too large")
+            return await super().commit(conditions, ops)
+
+    store = Falling()
+    store.lose = [False]
+    assert isinstance(play(store, [Put("a", 1)])[0], InvalidError)
+    with pytest.raises(ConflictError):
+        store.apply(*store.under_way[0])
+    assert "a" not in store.data
+
+
 def test_a_deposed_leader_writes_nothing() -> None:
     store = FakeStore()
     store.write("lead", {"member": "other"})
