--- a/bench/combined_failures.py
+++ b/bench/combined_failures.py
@@ -8,22 +8,14 @@
 
 from __future__ import annotations
 
-import json
 import sys
 import tomllib
 from pathlib import Path
 from typing import Any
 
-Fault = dict[str, Any]
-
+from toml_text import inline
 
-def text(value: Any) -> str:
-    """A value in TOML's inline form."""
-    if isinstance(value, dict):
-        return "{ " + ", ".join(f"{key} = {text(item)}" for key, item in value.items()) + " }"
-    if isinstance(value, list):
-        return "[" + ", ".join(text(item) for item in value) + "]"
-    return json.dumps(value)  # strings, numbers and booleans look the same in both
+Fault = dict[str, Any]
 
 
 def fault(at_s: float, kind: str, **rest: Any) -> Fault:
@@ -211,10 +203,10 @@
             "light = true",
             f"seed = {seed}",
             f"duration_s = {t + 200.0}",
-            f"jobs = {text(classes)}",
+            f"jobs = {inline(classes)}",
             "vary = { state_slow = 0.04, state_slow_times = 25.0 }",
             "faults = [",
-            *[f"  {text(entry)}," for entry in faults],
+            *[f"  {inline(entry)}," for entry in faults],
             "]",
         ]
         (out / f"{name}.toml").write_text("\n".join(lines) + "\n")
--- a/bench/larger.py
+++ b/bench/larger.py
@@ -9,20 +9,12 @@
 
 from __future__ import annotations
 
-import json
 import sys
 import tomllib
 from pathlib import Path
 from typing import Any
 
-
-def text(value: Any) -> str:
-    """A value in TOML's inline form."""
-    if isinstance(value, dict):
-        return "{ " + ", ".join(f"{key} = {text(item)}" for key, item in value.items()) + " }"
-    if isinstance(value, list):
-        return "[" + ", ".join(text(item) for item in value) + "]"
-    return json.dumps(value)  # strings, numbers and booleans look the same in both
+from toml_text import inline
 
 
 def larger(site: dict[str, Any], name: str, factor: float) -> dict[str, Any]:
@@ -63,7 +55,7 @@
         day = larger(tomllib.load(handle), name, float(factor))
     print("[[day]]")
     for key, value in day.items():
-        print(f"{key} = {text(value)}")
+        print(f"{key} = {inline(value)}")
 
 
 if __name__ == "__main__":
