--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -9,13 +9,11 @@
 from peathall import constants
 from peathall.jobs.model import AttemptPhase, Job
 from peathall.placement.ordering import gathering_s, order
-from peathall.placement.service import Placement
 from peathall.placement.views import JobView, Plan, Start
-from peathall.settings import CloudSettings, Params, StateSettings, Team
 from peathall.wire.names import MachineType
 from peathall.workers.model import Machine, MachinePhase
 from tests.unit.test_planner import spec
-from tests.unit.test_workers import new_workers
+from tests.unit.test_workers import new_placement, new_workers
 
 
 def test_a_start_that_was_waited_for_so_long_is_left_alone_and_ends_no_wait() -> None:
@@ -25,13 +23,10 @@
     async def run() -> None:
         now = asyncio.get_running_loop().time()
         workers = new_workers(now)
-        params = Params(
-            workers.settings, StateSettings(9.0, 9.0, 8.0, 9), CloudSettings(4.0, 4.0), [Team("t")]
-        )
         stored: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         stored.set_result(1)
         writer: Any = SimpleNamespace(versions={}, submit=lambda ops: stored, value_limit=1000)
-        placement = Placement(workers.cluster, params, writer, workers, lambda: 0.0, lambda: True)
+        placement = new_placement(workers, writer)
         machine = workers.cluster.machine("m-1", "g", "a", False, MachinePhase.UP, now)
         machine.confirmed = True
         machine.last_heard = now
@@ -68,21 +63,11 @@
     async def run() -> None:
         now = asyncio.get_running_loop().time()
         workers = new_workers(now)
-        params = Params(
-            workers.settings, StateSettings(9.0, 9.0, 8.0, 9), CloudSettings(4.0, 4.0), [Team("t")]
-        )
         cluster = workers.cluster
         cluster.types = {
             "g": MachineType("g", 8.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a", "b"])
         }
-        placement = Placement(
-            cluster,
-            params,
-            SimpleNamespace(),
-            workers,
-            lambda: 0.0,
-            lambda: True,  # type: ignore[arg-type]
-        )
+        placement = new_placement(workers, SimpleNamespace())
         job = cluster.jobs["j-1"] = Job(spec(tasks=4, spread=True), now)
         hung = cluster.machine("m-1", "", "", False, MachinePhase.UNHEARD, now)
         for task in (0, 1):
@@ -117,15 +102,12 @@
     async def run() -> None:
         now = asyncio.get_running_loop().time()
         workers = new_workers(now)
-        params = Params(
-            workers.settings, StateSettings(9.0, 9.0, 8.0, 9), CloudSettings(4.0, 4.0), [Team("t")]
-        )
         cluster = workers.cluster
         cluster.types = {"g": MachineType("g", 4.0, 0.0, 8.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])}
         stored: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         stored.set_result(1)
         writer: Any = SimpleNamespace(versions={}, submit=lambda ops: stored, value_limit=1000)
-        placement = Placement(cluster, params, writer, workers, lambda: 0.0, lambda: True)
+        placement = new_placement(workers, writer)
 
         def up(name: str) -> Machine:
             machine = cluster.machine(name, "g", "a", False, MachinePhase.UP, now)
--- a/tests/unit/test_rounds.py
+++ b/tests/unit/test_rounds.py
@@ -12,9 +12,8 @@
 from peathall.jobs.model import AttemptPhase, Job
 from peathall.leadership.lease import first_attempt
 from peathall.placement.rounds import ROUND, RoundRecords, from_record
-from peathall.placement.service import Placement
 from peathall.placement.views import Plan, Start
-from peathall.settings import CloudSettings, Params, StateSettings, Team
+from peathall.settings import StateSettings
 from peathall.store.client import InvalidError, Item
 from peathall.store.writer import Writer
 from peathall.wire.body import json_size
@@ -22,7 +21,7 @@
 from peathall.workers.service import Workers
 from tests.unit.test_planner import spec
 from tests.unit.test_store import FakeStore, lead
-from tests.unit.test_workers import TERM, new_workers, report
+from tests.unit.test_workers import TERM, new_placement, new_workers, report
 
 SMALLEST = StateSettings(100.0, 50.0, 2.0, 4)  # 2 KiB a value, 4 changes a transaction
 
@@ -119,12 +118,6 @@
     asyncio.run(run())
 
 
-def placement_of(workers: Workers, writer: Any) -> Placement:
-    """Of a leader whose writer is given; its machine takes work."""
-    params = Params(workers.settings, SMALLEST, CloudSettings(4.0, 4.0), [Team("t")])
-    return Placement(workers.cluster, params, writer, workers, lambda: 0.0, lambda: True)
-
-
 def wide_gang(workers: Workers, machines: int) -> Plan:
     """A gang whose intent no single value of 2 KiB can hold, with a small job before it."""
     now = workers.loop.time()
@@ -154,7 +147,7 @@
             return written[-1]
 
         writer: Any = SimpleNamespace(versions={}, submit=submit, value_limit=1740)
-        placement = placement_of(workers, writer)
+        placement = new_placement(workers, writer)
         starting = asyncio.create_task(placement._start(wide_gang(workers, 130), 0.0))
         await asyncio.sleep(0)
         jobs = workers.cluster.jobs
@@ -193,7 +186,7 @@
             versions={}, submit=submit, value_limit=1740, offer_drop=lambda key: None
         )
         plan = wide_gang(before, 130)
-        starting = asyncio.create_task(placement_of(before, writer)._start(plan, now))
+        starting = asyncio.create_task(new_placement(before, writer)._start(plan, now))
         await asyncio.sleep(0)
         starting.cancel()
 
@@ -203,7 +196,7 @@
             workers.cluster.next_attempt = first_attempt(TERM + 1)
             wide_gang(workers, 130)
             gang = workers.cluster.jobs["j-2"]
-            placement = placement_of(workers, writer)
+            placement = new_placement(workers, writer)
             placement.rounds.load(values[:stored], now)
             inherited = len(gang.attempts)
             assert (inherited > 0) is (stored > 0) and inherited < 130
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -14,6 +14,7 @@
 from peathall.jobs.model import Attempt, AttemptPhase, Job, JobPhase
 from peathall.leadership.lease import first_attempt, token
 from peathall.peers.service import Peers
+from peathall.placement.service import Placement
 from peathall.placement.views import MachineView
 from peathall.settings import CloudSettings, Params, Peer, StateSettings, Team, WorkerSettings
 from peathall.store.client import Item
@@ -56,6 +57,13 @@
     return Fleet(workers.cluster, params, cloud, writer, workers, lambda: True, lambda: None, 1e6)
 
 
+def new_placement(workers: Workers, writer: Any) -> Placement:
+    """Rounds of a leader that may act, for a team without limits."""
+    state = StateSettings(100.0, 50.0, 2.0, 4)
+    params = Params(workers.settings, state, CloudSettings(4.0, 4.0), [Team("t")])
+    return Placement(workers.cluster, params, writer, workers, lambda: 0.0, lambda: True)
+
+
 def lone_peers() -> Peers:
     async def handle(message: dict[str, object]) -> tuple[int, object]:
         return 200, None
