--- a/tests/sim/sites.py
+++ b/tests/sim/sites.py
@@ -45,7 +45,7 @@
 """
 
 # Smaller limits of the state service that begin some day.
-NEXT_LIMITS = "[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 30.0\n"
+NEXT_LIMITS = "[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = {write_rps}\n"
 
 
 def node_text(index: int, size: int = 3) -> str:
@@ -59,9 +59,10 @@
     return _NODE.format(i=index, n=index + 1, zone=zone, peers=peers, size=size)
 
 
-def node_text_with_next_limits(index: int, size: int = 3) -> str:
+def node_text_with_next_limits(index: int, size: int = 3, write_rps: float = 30.0) -> str:
     """The same, naming the limits to come."""
-    return node_text(index, size).replace("[params.cloud]", NEXT_LIMITS + "[params.cloud]")
+    limits = NEXT_LIMITS.format(write_rps=write_rps)
+    return node_text(index, size).replace("[params.cloud]", limits + "[params.cloud]")
 
 
 def node_settings(index: int, size: int = 3) -> settings.Settings:
--- a/tests/sim/test_limits_fall.py
+++ b/tests/sim/test_limits_fall.py
@@ -25,6 +25,7 @@
 CRASH_S = 20.0  # s; the leader ends, so that a take-over follows
 BURSTS_S = (8.0, 14.2, 22.0, 28.0, 33.0)  # s; submissions that come together share a record
 BURST = 10  # jobs
+SCARCE_RPS = 10.0  # changes a second; the day needs more in its bursts
 
 
 class Step(Enum):
@@ -98,7 +99,7 @@
     return world.loop.create_task(submit(), context=world.context(Host(ip)))
 
 
-def lower(world: World, fall: Fall) -> None:
+def lower(world: World, fall: Fall, write_rps: float) -> None:
     """From this moment on, without notice."""
     state = world.state
     if fall in (Fall.VALUE, Fall.ALL):
@@ -106,16 +107,23 @@
     if fall in (Fall.TRANSACTION, Fall.ALL):
         state.txn_ops = 4
     if fall in (Fall.RATE, Fall.ALL):
-        state.limits = (200.0, 30.0)
+        state.limits = (200.0, write_rps)
 
 
-def play(step: Step, fall: Fall | None, lost: bool = False, told: bool = True) -> Outcome:
+def play(
+    step: Step,
+    fall: Fall | None,
+    lost: bool = False,
+    told: bool = True,
+    write_rps: float = 30.0,
+) -> Outcome:
     """A day with a take-over; the limits fall with the first commit of the step, whose answer is
     lost if `lost`. Without `told` the service does not know what is coming."""
     logging.getLogger("peathall").setLevel(logging.CRITICAL)
     with virtual(SEED) as loop:
         plain = [node_settings(i) for i in range(3)]
-        known = [settings.parse(node_text_with_next_limits(i)) for i in range(3)]
+        texts = [node_text_with_next_limits(i, write_rps=write_rps) for i in range(3)]
+        known = [settings.parse(text) for text in texts]
         world = World(loop, SEED, known if told else plain)
         world.state.limits = (200.0, 60.0)
         world.state.slow = 0.3  # so that much is written together
@@ -139,9 +147,11 @@
                 return False
             fell.append(loop.now)
             if not lost:
-                lower(world, fall)
+                lower(world, fall, write_rps)
                 return False
-            loop.call_later(0.01, lower, world, fall)  # it is carried out, and then they fall
+            loop.call_later(
+                0.01, lower, world, fall, write_rps
+            )  # it is carried out, and then they fall
             return True
 
         world.state.on_commit = on_commit
@@ -158,7 +168,7 @@
                 injector.outage(6.0)
                 await asyncio.sleep(3.0)
                 fell.append(loop.now)
-                lower(world, fall)
+                lower(world, fall, write_rps)
             deadline = max(loop.now, world.troubled_until) + 300.0
             while loop.now < deadline and not all(task.done() for task in waiting):
                 await asyncio.sleep(1.0)
@@ -205,3 +215,14 @@
     """The days above fail if a value or a transaction is as large as it used to be."""
     outcomes = [play(step, fall, told=False) for step in (Step.ACCEPT, Step.ARCHIVE)]
     assert any("limits" in broken for outcome in outcomes for broken in outcome.broken)
+
+
+def test_the_lower_rate_is_kept_to(unbroken: Outcome) -> None:
+    """At a rate that bites nothing is refused. Ignored, transactions of more changes than a second
+    is worth are refused for ever, and the day does not end."""
+    kept = play(Step.ROUND, Fall.RATE, write_rps=SCARCE_RPS)
+    assert kept.broken == []
+    assert kept.standings == unbroken.standings
+    assert kept.refused == 0
+    with pytest.raises(AssertionError):
+        play(Step.ROUND, Fall.RATE, told=False, write_rps=SCARCE_RPS)
