--- /dev/null
+++ b/tests/sim/sites.py
@@ -0,0 +1,69 @@
+"""Settings of the controllers of a simulated site."""
+
+from __future__ import annotations
+
+from peathall import settings
+
+_NODE = """
+member = "hall-{i}"
+location = "{zone}"
+api_addr = "10.0.0.{n}:8080"
+back = "10.0.0.{n}:8081"
+{peers}
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[params]
+size = {size}
+zones = ["a", "b"]
+[[params.teams]]
+name = "red"
+gpus = 4.0
+gpus_max = 12.0
+[[params.teams]]
+name = "blue"
+cpus_max = 20.0
+[[params.objectives]]
+kind = "wait"
+class = "c0"
+within_s = 15.0
+share = 0.9
+[params.workers]
+report_s = 3.0
+lease_s = 12.0
+gang_wait_s = 20.0
+gang_peer_s = 4.0
+cancel_s = 25.0
+[params.state]
+rps = 200.0
+write_rps = 60.0
+value_kb = 8.0
+txn_ops = 12
+[params.cloud]
+rps = 6.0
+list_lag_s = 4.0
+"""
+
+# Smaller limits of the state service that begin some day.
+NEXT_LIMITS = "[params.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 30.0\n"
+
+
+def node_text(index: int, size: int = 3) -> str:
+    """The settings file of one of `size` controllers, which stand in two zones."""
+    peers = "".join(
+        f'[[known]]\nmember = "hall-{k}"\nlocation = "a"\nendpoint = "10.0.0.{k + 1}:8081"\n'
+        for k in range(size)
+        if k != index
+    )
+    zone = "ab"[index % 2]
+    return _NODE.format(i=index, n=index + 1, zone=zone, peers=peers, size=size)
+
+
+def node_text_with_next_limits(index: int, size: int = 3) -> str:
+    """The same, naming the limits to come."""
+    return node_text(index, size).replace("[params.cloud]", NEXT_LIMITS + "[params.cloud]")
+
+
+def node_settings(index: int, size: int = 3) -> settings.Settings:
+    """The settings as the service reads them."""
+    return settings.parse(node_text(index, size))
