--- a/peathall/books.py
+++ b/peathall/cluster.py
@@ -9,14 +9,15 @@
 import logging
 from collections.abc import Callable
 
+from peathall import constants
 from peathall.jobs.model import Attempt, AttemptPhase, Job
 from peathall.wire.names import MachineType, Standing
 from peathall.workers.model import Machine, MachinePhase
 
-log = logging.getLogger("peathall.books")
+log = logging.getLogger("peathall.cluster")
 
 
-class Books:
+class ClusterState:
     def __init__(self, term: int, first_attempt: int) -> None:
         self.term = term
         self.jobs: dict[str, Job] = {}
@@ -36,6 +37,12 @@
         self.next_attempt += 1
         return self.next_attempt
 
+    def remember(self, job_id: str, standing: Standing) -> None:
+        """A job that is archived; the earliest are forgotten here, and read when asked for."""
+        self.past[job_id] = standing
+        if len(self.past) > constants.KNOWN_JOBS:
+            del self.past[next(iter(self.past))]
+
     def machine(
         self, name: str, type_: str, zone: str, spot: bool, phase: MachinePhase, now: float
     ) -> Machine:
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -80,7 +80,7 @@
 )
 # bytes of 64 KiB, and a machine whose report is too large would be lost
 KNOWN_TASK_REPORTS = 24_000  # sentences of reports that are recognised, some 700 bytes each
-PATIENT_ORDERS = 40.0  # a second and core: direct orders for tasks that could wait for their
+DEFERRABLE_ORDERS = 40.0  # a second and core: direct orders for tasks that could wait for their
 # machine's next report, at most; each costs the leader about as much as a report
 GC_OBJECTS = 20_000  # new objects between looks for cyclic garbage: asyncio makes little of it
 DIRECT_TIMEOUT_S = 2.0  # s; a direct order without an answer is repeated by the next check-in
@@ -143,6 +143,8 @@
 STORE_FRESH_S = 8.0  # s; a follower's watch is answered at least this often
 PEER_FRESH_S = 4.0  # s; some peer answers a ping at least this often
 PING_S = 1.5  # s; between looks at each peer
-KNOCK_S = 6.0  # s; check-ins that a follower turned away count as knocks for this long
-KNOCK_MEMORY_S = 120.0  # s; late copies of a worker's reports are told from news for this long
+TURNED_AWAY_S = 6.0  # s; check-ins that a follower turned away are told to the leader so long
+REPORT_ORDER_MEMORY_S = (
+    120.0  # s; late copies of a worker's reports are told from news for this long
+)
 YOUNG_S = 6.0  # s; a controller that has just started calls itself healthy
--- /dev/null
+++ b/peathall/fleet/client.py
@@ -0,0 +1,82 @@
+"""Calls to the cloud, within its budget of requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+from peathall import constants
+from peathall.fleet.planner import Offer
+from peathall.settings import CloudSettings
+from peathall.store.budget import Budget
+from peathall.wire import body, names
+from peathall.wire.http import HttpClient, NoAnswerError
+from peathall.wire.names import ListedMachine
+
+
+class CloudError(Exception):
+    """The cloud gave no useful answer; `sent` as in NoAnswerError."""
+
+    def __init__(self, why: str, sent: bool) -> None:
+        super().__init__(why)
+        self.sent = sent
+
+
+class NoCapacityError(Exception):
+    """Nothing of this type, zone and kind is to be had now."""
+
+
+class CloudClient:
+    def __init__(self, addr: str, settings: CloudSettings, may_send: Callable[[], bool]) -> None:
+        self.http = HttpClient(addr, may_send=may_send)
+        self.loop = asyncio.get_running_loop()
+        self.budget = Budget(settings.rps * 0.9, settings.rps)
+
+    async def _ask(self, method: str, path: str, value: Any = None) -> Any:
+        while (pause := self.budget.wait(1, self.loop.time())) > 0:
+            await asyncio.sleep(pause)
+        data = b"" if value is None else body.cbor_bytes(value)
+        try:
+            status, raw = await self.http.request(method, path, data, constants.CLOUD_TIMEOUT_S)
+            answer = body.cbor_any(raw)
+        except NoAnswerError as exc:
+            raise CloudError(str(exc), exc.sent) from None
+        except Exception as exc:
+            raise CloudError(f"garbled answer: {exc}", True) from None
+        if status == 503 and "capacity" in str((answer or {}).get("error", "")):
+            raise NoCapacityError
+        if status != 200:
+            raise CloudError(f"cloud: {status}", False)
+        return answer
+
+    async def types(self) -> list[dict[str, Any]]:
+        return list((await self._ask("GET", "/machine_types"))["builds"])
+
+    async def machines(self) -> list[ListedMachine]:
+        found: list[ListedMachine] = []
+        after = ""
+        while True:
+            path = f"/hosts?most={constants.LIST_PAGE}" + (
+                f"&after={quote(after)}" if after else ""
+            )
+            raw = await self._ask("GET", path)
+            page = [names.listed_from_wire(x) for x in raw["halls"]]
+            found += page
+            if not raw.get("more") or not page:
+                return found
+            after = page[-1].name
+
+    async def rent(self, request: str, offer: Offer, count: int) -> list[str]:
+        wire = {
+            "hire": request,
+            "build": offer.type.name,
+            "ward": offer.zone,
+            "standby": offer.spot,
+            "how_many": count,
+        }
+        return [str(x) for x in (await self._ask("POST", "/hosts", wire))["halls"]]
+
+    async def delete(self, machines: list[str]) -> None:
+        await self._ask("POST", "/hosts/delete", {"halls": machines})
--- a/peathall/fleet/planner.py
+++ b/peathall/fleet/planner.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from msgspec import Struct
 
 from peathall.placement.views import EPS, JobView, fits_in
 from peathall.wire.names import JobSpec, MachineType
+from peathall.workers.model import Machine
 
 
 class Offer(Struct, frozen=True):
@@ -51,6 +54,12 @@
     )
 
 
+def offer_of(machine: Machine, types: Mapping[str, MachineType]) -> Offer | None:
+    """The offer under which such a machine is rented, if its type is known."""
+    size = types.get(machine.type)
+    return Offer(size, machine.zone, machine.spot) if size else None
+
+
 def all_offers(types: list[MachineType]) -> list[Offer]:
     return [Offer(t, zone, spot) for t in types for zone in t.zones for spot in (True, False)]
 
--- /dev/null
+++ b/peathall/fleet/returns.py
@@ -0,0 +1,156 @@
+"""Which machines are returned, and why. Pure but for what it remembers of earlier returns."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from peathall import constants
+from peathall.cluster import ClusterState
+from peathall.fleet.boots import BootTimes
+from peathall.fleet.planner import offer_of, suits
+from peathall.jobs.model import JobPhase
+from peathall.settings import Params
+from peathall.wire.names import JobSpec
+from peathall.workers.health import MachineHealth
+from peathall.workers.model import Machine, MachinePhase
+
+log = logging.getLogger("peathall.fleet")
+
+
+@dataclass(frozen=True, slots=True)
+class Shortage:
+    """What the cloud does not give."""
+
+    starved: list[JobSpec]  # jobs that have waited long for machines
+    refused: bool  # the cloud lately gave less than was asked for
+
+
+class Returns:
+    """Decides which machines go back: silent, unusable, taken, late or idle ones."""
+
+    def __init__(
+        self,
+        cluster: ClusterState,
+        params: Params,
+        health: MachineHealth,
+        boots: BootTimes,
+        idle_hold_s: float | None,
+    ) -> None:
+        self.cluster = cluster
+        self.health = health
+        self.boots = boots
+        self.idle_hold_s = idle_hold_s
+        self.guaranteed = any(team.cpus or team.gpus for team in params.teams)
+        self.made_way_at = -1e9
+
+    def _heard_share(self, now: float) -> float:
+        up = self.health.expected()
+        limit = self.health.suspect_s()
+        reached = [m for m in up if m.deaf_since is None and self.health.silence(m, now) < limit]
+        return len(reached) / max(1, len(up))
+
+    def to_delete(self, now: float, shortage: Shortage) -> list[Machine]:
+        """Machines that are of no use any more, at most as many as one request may name."""
+        self.health.note_tick(now)
+        self.boots.note()
+        heard, elsewhere = self._heard_share(now), self.health.reporting_elsewhere()
+        chosen = []
+        for machine in self.cluster.machines.values():
+            why = self._why_delete(machine, now, heard, elsewhere)
+            if why:
+                if machine.phase is not MachinePhase.DELETING:
+                    log.info("machine %s is to be deleted: %s", machine.name, why)
+                chosen.append(machine)
+        for machine in self._make_way(now, shortage):
+            log.info("machine %s is to be deleted: it may be in the way", machine.name)
+            chosen.append(machine)
+        chosen.sort(key=lambda m: not m.attempts)  # first those whose tasks wait for it
+        return chosen[: constants.DELETE_MAX]
+
+    def _why_delete(
+        self, machine: Machine, now: float, heard: float, elsewhere: Callable[[Machine], bool]
+    ) -> str:
+        phase = machine.phase
+        if phase is MachinePhase.DELETING:
+            return "again"
+        if phase is MachinePhase.BOOTING:
+            patience = (
+                constants.BOOT_PATIENCE
+                if self.boots.overtaken(machine)
+                else constants.BOOT_PATIENCE_ALL
+            )
+            late = now - machine.born > max(
+                constants.BOOT_PATIENCE_MIN_S, patience * self.boots.boot_s(machine)
+            )
+            return "it never came up" if late else ""
+        if phase is MachinePhase.DRAINING:
+            if not machine.attempts:
+                return machine.why_draining
+            if machine.taken_at is not None and now > machine.taken_at + constants.TAKEN_S:
+                return "taken back by now"  # the answer frees its tasks before their lease
+            return ""
+        if phase in (MachinePhase.UP, MachinePhase.UNHEARD) and heard >= constants.HEARD_SHARE:
+            lost_s = self.health.lost_s()
+            quiet = self.health.silent_to_us_s(machine, now)
+            if quiet > lost_s and (heard >= constants.SURE_SHARE or not elsewhere(machine)):
+                return f"silent for {quiet:.0f} s"
+            if machine.deaf_since is not None and now - machine.deaf_since > lost_s:
+                return f"got no answer of ours for {now - machine.deaf_since:.0f} s"
+            late = phase is MachinePhase.UP and not machine.confirmed
+            if late and now - machine.came > 2 * lost_s:
+                return "reported once, and nothing since shows that it exists"
+        if (
+            phase is MachinePhase.UP
+            and not machine.attempts
+            and now - machine.idle_since > self.hold_s(machine, now)
+        ):
+            return "idle"
+        return ""
+
+    def _make_way(self, now: float, shortage: Shortage) -> list[Machine]:
+        """A cloud that refuses what a job has long waited for may have given all it has: a few
+        machines that have long been idle and are of no use to the job are not held beside it.
+        Seldom, since clouds mostly count each type and zone by itself."""
+        if (
+            not shortage.starved
+            or not shortage.refused
+            or now - self.made_way_at < constants.MAKE_WAY_S
+        ):
+            return []
+        idle = [
+            (machine, offer_of(machine, self.cluster.types))
+            for machine in self.cluster.machines.values()
+            if machine.phase is MachinePhase.UP
+            and not machine.attempts
+            and now - machine.idle_since > constants.MAKE_WAY_IDLE_S
+        ]
+        found = [
+            m for m, kind in idle if kind and not any(suits(kind, s) for s in shortage.starved)
+        ]
+        if found:
+            self.made_way_at = now
+        return found[: constants.MAKE_WAY]
+
+    def _nothing_to_do(self) -> bool:
+        return not any(
+            job.phase is JobPhase.ACTIVE and (job.todo or not job.spec.daemon)
+            for job in self.cluster.jobs.values()
+        )
+
+    def hold_s(self, machine: Machine, now: float) -> float:
+        """How long an idle machine is kept: as long as renting it anew would cost."""
+        if self.idle_hold_s is not None:
+            return self.idle_hold_s
+        size = self.cluster.types.get(machine.type)
+        if size is None:
+            return constants.GUARANTEED_HOLD_S
+        quiet = now - self.cluster.last_arrival > size.boot_s
+        if self.guaranteed and not (quiet and self._nothing_to_do()):
+            return constants.GUARANTEED_HOLD_S  # guaranteed teams need not wait: room is held ready
+        if quiet:
+            return constants.QUIET_HOLD_S  # nothing arrives that it could be held for
+        # A spot machine given back may come back only as an ordinary one.
+        dearer = size.price / size.spot_price if machine.spot and size.spot_price else 1.0
+        return constants.IDLE_BOOTS * size.boot_s * dearer
--- a/peathall/jobs/fallback.py
+++ b/peathall/jobs/fallback.py
@@ -8,7 +8,7 @@
 
 from collections import OrderedDict
 
-from peathall import constants as c
+from peathall import constants
 from peathall.jobs import records
 from peathall.jobs.live import Live
 from peathall.jobs.service import NOT_NOW, Answer, can_never_run
@@ -33,7 +33,7 @@
     def _learn(self, job_id: str, end: Answer) -> Answer:
         self.over[job_id] = end
         self.over.move_to_end(job_id)
-        if len(self.over) > c.KNOWN_JOBS:
+        if len(self.over) > constants.KNOWN_JOBS:
             self.over.popitem(last=False)
         return end
 
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -88,10 +88,10 @@
         "end",
         "failed_on",
         "fails_after",
-        "home",
         "idle_since",
         "late",
         "phase",
+        "record_key",
         "settling",
         "spec",
         "stored",
@@ -119,7 +119,7 @@
         self.strikes = 0  # starts that failed since it was last known to go well
         self.struck = 0  # the latest of them
         self.backoff_until = 0.0
-        self.home = ""  # key of the record that holds it
+        self.record_key = ""  # key of the record that holds it
         self.end = ""  # key of the record that holds its final state
         self.writing = False  # done ranges are on their way to the store
         self.settling: asyncio.Future[str] | None = None  # its final state is on its way there
--- a/peathall/jobs/records.py
+++ b/peathall/jobs/records.py
@@ -16,7 +16,7 @@
 
 from typing import Any
 
-from peathall import constants as c
+from peathall import constants
 from peathall.jobs.ranges import Ranges
 from peathall.wire.names import Standing
 
@@ -32,7 +32,7 @@
 
 def block_tasks(value_kb: float) -> int:
     """Tasks of one block: every second one done is the worst case, half as many ranges."""
-    return max(2, int(value_kb * 1024 * c.VALUE_FILL / RANGE_BYTES) * 2)
+    return max(2, int(value_kb * 1024 * constants.VALUE_FILL / RANGE_BYTES) * 2)
 
 
 def done_key(job_id: str, block: int, size: int) -> str:
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -1,4 +1,4 @@
-"""One reign: the slices of a leader, wired together over one set of books."""
+"""One term of a leader: the slices of a leader, wired together over one ClusterState."""
 
 from __future__ import annotations
 
@@ -8,9 +8,10 @@
 from enum import Enum, auto
 from typing import Any
 
-from peathall import constants as c
-from peathall.books import Books
-from peathall.fleet.service import TYPES, CloudClient, Fleet
+from peathall import constants
+from peathall.cluster import ClusterState
+from peathall.fleet.client import CloudClient
+from peathall.fleet.service import TYPES, Fleet
 from peathall.jobs import records
 from peathall.jobs.model import Job
 from peathall.jobs.service import NOT_NOW, Answer, Jobs
@@ -46,7 +47,7 @@
         may_act: Callable[[], bool],
         depose: Callable[[], None],
         wall: Callable[[], float],
-        knocking: Callable[[], dict[str, tuple[int, int]]],
+        reporting_elsewhere: Callable[[], dict[str, tuple[int, int]]],
     ) -> None:
         params = settings.params
         self.loop = asyncio.get_running_loop()
@@ -56,39 +57,41 @@
         self.ready = asyncio.Event()
         self._lease_alive = may_act
         now = self.loop.time()
-        self.books = Books(mandate.term, first_attempt(mandate.term))
+        self.cluster = ClusterState(mandate.term, first_attempt(mandate.term))
         self.writer = Writer(store, params.state, mandate.record, may_act, depose)
         self.workers = Workers(
-            self.books,
+            self.cluster,
             params.workers,
             now,
             self.may_act,
             self._done,
-            self._nudge,
-            max(1, int(params.machine_limits.fd_limit * c.DIRECT_SHARE)),
-            c.PATIENT_ORDERS * min(1.0, params.machine_limits.cpu_share),
+            self._request_round,
+            max(1, int(params.machine_limits.fd_limit * constants.DIRECT_SHARE)),
+            constants.DEFERRABLE_ORDERS * min(1.0, params.machine_limits.cpu_share),
+            reporting_elsewhere,
         )
-        self.caches = Caches(self.books, self.writer)
+        self.caches = Caches(self.cluster, self.writer)
         self.workers.on_images = self.caches.changed
         self.workers.on_confirmed = self.caches.recall
-        self.suspects = Suspects(self.books, self.workers.blame, self.writer)
-        self.jobs = Jobs(self.books, params, store, self.writer, self._nudge, self._cancelled, wall)
+        self.suspects = Suspects(self.cluster, self.workers.faults, self.writer)
+        self.jobs = Jobs(
+            self.cluster, params, store, self.writer, self._request_round, self._cancelled, wall
+        )
         self.placement = Placement(
-            self.books, params, self.writer, self.workers, wall, self.may_act
+            self.cluster, params, self.writer, self.workers, wall, self.may_act
         )
         self.fleet = Fleet(
-            self.books,
+            self.cluster,
             params,
             cloud,
             self.writer,
             self.workers,
             self.may_act,
-            self._nudge,
+            self._request_round,
             operator.idle_hold_s,
         )
-        self.workers.elsewhere = knocking
-        self.books.on_room = self._nudge
-        self.placement.on_short = self._short
+        self.cluster.on_room = self._request_round
+        self.placement.on_unplaced = self._unplaced
         self.requests: set[asyncio.Task[Answer]] = set()
 
     def enter(self, phase: LeaderPhase) -> None:
@@ -99,14 +102,14 @@
         return self.phase is LeaderPhase.SERVING and self._lease_alive()
 
     # --- between the slices --------------------------------------------------
-    def _nudge(self) -> None:
-        self.placement.nudge()
+    def _request_round(self) -> None:
+        self.placement.request_round()
 
-    def _short(self) -> None:
-        self.fleet.short = self.placement.short
-        self.fleet.leftover = self.placement.leftover
-        if self.placement.short:
-            self.fleet.nudge()
+    def _unplaced(self) -> None:
+        self.fleet.unplaced = self.placement.unplaced
+        self.fleet.spare_room = self.placement.spare_room
+        if self.placement.unplaced:
+            self.fleet.request_plan()
 
     def _done(self, job: Job) -> None:
         self.jobs.note_done(job)
@@ -128,9 +131,9 @@
             self.ready.set()
             log.info(
                 "term %d serves: %d jobs, %d machines known",
-                self.books.term,
-                len(self.books.jobs),
-                len(self.books.machines),
+                self.cluster.term,
+                len(self.cluster.jobs),
+                len(self.cluster.machines),
             )
             for coro in (
                 self.jobs.follow(),
@@ -166,7 +169,7 @@
                 break
             except StoreError as exc:
                 log.info("reading the records: %s", exc)
-                await asyncio.sleep(c.STORE_RETRY_S)
+                await asyncio.sleep(constants.STORE_RETRY_S)
         if types is not None:
             self.writer.versions[TYPES] = types.version
             self.fleet.set_types(types.value["builds"])
@@ -178,20 +181,20 @@
 
     async def _tick(self) -> None:
         while True:
-            await asyncio.sleep(c.TICK_S)
+            await asyncio.sleep(constants.TICK_S)
             if self.may_act():
                 self.workers.tick(self.loop.time())
                 self.placement.rounds.compact(self.loop.time())
-                if self.loop.time() - self.workers.took_over > c.FORGET_CACHES_S:
+                if self.loop.time() - self.workers.took_over > constants.FORGET_CACHES_S:
                     self.caches.forget_unknown()
-                for job in list(self.books.jobs.values()):
+                for job in list(self.cluster.jobs.values()):
                     self.jobs.look_after(job)
 
     # --- requests ------------------------------------------------------------
     async def checkin(self, report: Report) -> tuple[int, dict[str, Any] | None]:
         if self.phase is LeaderPhase.REBUILDING:
             try:
-                await asyncio.wait_for(self.ready.wait(), c.CHECKIN_HOLD_S)
+                await asyncio.wait_for(self.ready.wait(), constants.CHECKIN_HOLD_S)
             except TimeoutError:
                 return 503, None
         if not self.may_act():
@@ -219,7 +222,7 @@
     async def accept(self, spec: JobSpec) -> Answer:
         if self._cannot_write():
             return NOT_NOW
-        return await self._bounded(self.jobs.accept(spec), c.ACCEPT_S)
+        return await self._bounded(self.jobs.accept(spec), constants.ACCEPT_S)
 
     async def query(self, job_id: str) -> Answer:
         if not self.may_act():
@@ -227,9 +230,9 @@
         told = self.jobs.told(job_id)
         if told is not None:
             return told
-        return await self._bounded(self.jobs.query(job_id), c.FORWARD_S)
+        return await self._bounded(self.jobs.query(job_id), constants.FORWARD_S)
 
     async def cancel(self, job_id: str) -> Answer:
         if self._cannot_write():
             return NOT_NOW
-        return await self._bounded(self.jobs.cancel(job_id), c.ACCEPT_S)
+        return await self._bounded(self.jobs.cancel(job_id), constants.ACCEPT_S)
--- a/peathall/leadership/election.py
+++ b/peathall/leadership/election.py
@@ -13,7 +13,7 @@
 from enum import Enum, auto
 from typing import Any
 
-from peathall import constants as c
+from peathall import constants
 from peathall.leadership.lease import LeadLease
 from peathall.store.client import (
     ConflictError,
@@ -97,7 +97,7 @@
                 if item is None:
                     if not self._resting():
                         if not started:
-                            await asyncio.sleep(self.rng.random() * c.CAMPAIGN_JITTER_S)
+                            await asyncio.sleep(self.rng.random() * constants.CAMPAIGN_JITTER_S)
                         started = False
                         await self._campaign()
                     else:
@@ -106,14 +106,14 @@
                     await self._await_change(item.version)
             except StoreError as exc:
                 log.debug("election: %s", exc)
-                await asyncio.sleep(c.STORE_RETRY_S)
+                await asyncio.sleep(constants.STORE_RETRY_S)
             started = False
 
     def _resting(self) -> bool:
         now = self.loop.time()
         if self.vacant_since is None:
             self.vacant_since = now
-        return now < self.rest_until and now - self.vacant_since < c.REST_VACANT_S
+        return now < self.rest_until and now - self.vacant_since < constants.REST_VACANT_S
 
     def _follow(self, value: dict[str, Any] | None) -> None:
         leader = value["member"] if value else None
@@ -145,7 +145,7 @@
         term_item = await self.store.get(TERM, first=True)
         term = (term_item.value["n"] if term_item else 0) + 1
         sent = self.loop.time()
-        lease_id = await self.store.lease(c.LEAD_TTL_S)
+        lease_id = await self.store.lease(constants.LEAD_TTL_S)
         record = {"member": self.name, "term": term, "lease": lease_id}
         try:
             version = await self.store.commit(
@@ -158,7 +158,7 @@
         # A commit without an answer ends up in run(): if it did go through, `lead`
         # names us, that lease is ended, and the term is simply skipped.
         written = LeadRecord(LEAD, record, version, lease_id)
-        self.mandate = Mandate(term, written, lease_id, LeadLease(c.LEAD_TTL_S, sent))
+        self.mandate = Mandate(term, written, lease_id, LeadLease(constants.LEAD_TTL_S, sent))
         await self._reign(self.mandate)
 
     async def _reign(self, mandate: Mandate) -> None:
@@ -183,9 +183,9 @@
             results = await asyncio.gather(renewing, leading, deposed, return_exceptions=True)
             for result in results:
                 if isinstance(result, Exception):
-                    log.error("the reign ended by an error", exc_info=result)
+                    log.error("the term ended by an error", exc_info=result)
                     # Give the others a turn rather than fail at once again.
-                    self.rest_until = self.loop.time() + c.REST_S
+                    self.rest_until = self.loop.time() + constants.REST_S
             log.info("no longer leading term %d", mandate.term)
 
     async def _renew(self, mandate: Mandate) -> None:
@@ -194,12 +194,12 @@
         while True:
             sent = self.loop.time()
             try:
-                await self.store.renew(mandate.lease_id, c.RENEW_S)
+                await self.store.renew(mandate.lease_id, constants.RENEW_S)
                 mandate.lease.renewed(sent)
                 if silent:
                     log.info("the lease of term %d is alive again", mandate.term)
                     silent = False
-                pause = c.RENEW_S
+                pause = constants.RENEW_S
             except LeaseGoneError:
                 log.info("the lease of term %d is gone", mandate.term)
                 return
@@ -207,7 +207,7 @@
                 if not silent and not mandate.lease.alive(self.loop.time()):
                     log.info("standing still, the lease cannot be renewed: %s", exc)
                     silent = True
-                pause = c.STORE_RETRY_S
+                pause = constants.STORE_RETRY_S
             await asyncio.sleep(pause)
 
     async def resign(self, why: str) -> None:
@@ -215,7 +215,7 @@
         if self.mandate is None:
             return
         log.info("resigning: %s", why)
-        self.rest_until = self.loop.time() + c.REST_S
+        self.rest_until = self.loop.time() + constants.REST_S
         lease_id = self.mandate.lease_id
         self.mandate.lease.until = 0.0
         self.depose()
--- a/peathall/leadership/lease.py
+++ b/peathall/leadership/lease.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from peathall import constants as c
+from peathall import constants
 
 # The counter grows by one a second, so it never runs into the term.
 TERM_SHIFT = 32
@@ -17,7 +17,9 @@
         self.renewed(sent)
 
     def renewed(self, sent: float) -> None:
-        self.until = max(self.until, sent + self.ttl_s * (1 - 2 * c.DRIFT) - c.LEAD_MARGIN_S)
+        self.until = max(
+            self.until, sent + self.ttl_s * (1 - 2 * constants.DRIFT) - constants.LEAD_MARGIN_S
+        )
 
     def alive(self, now: float) -> bool:
         return now < self.until
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -13,8 +13,9 @@
 
 import msgspec
 
-from peathall import constants as c
-from peathall.fleet.service import TYPES, CloudClient
+from peathall import constants
+from peathall.fleet.client import CloudClient
+from peathall.fleet.service import TYPES
 from peathall.jobs.fallback import Fallback
 from peathall.jobs.service import NOT_NOW, Answer
 from peathall.leader import Leader
@@ -62,13 +63,13 @@
         self.fallback = Fallback(self.store, settings.params)
         self.peers.leads = self.election.may_act
         sockets = settings.params.machine_limits.fd_limit
-        self.api = HttpServer(self._serve, int(sockets * c.CALLER_SHARE))
+        self.api = HttpServer(self._serve, int(sockets * constants.CALLER_SHARE))
         self.turns = Turns()
-        self.back = HttpServer(self.peers.serve, int(sockets * c.PEER_SHARE))
+        self.back = HttpServer(self.peers.serve, int(sockets * constants.PEER_SHARE))
 
     async def run(self) -> None:
         self.assemble()
-        gc.set_threshold(c.GC_OBJECTS)
+        gc.set_threshold(constants.GC_OBJECTS)
         gc.freeze()  # what start-up made stays: later collections need not look at it
         await self.back.start(*split_addr(self.settings.peer_listen))
         await self.api.start(*split_addr(self.settings.listen))
@@ -88,7 +89,7 @@
             self.election.may_act,
             self.election.depose,
             self.wall,
-            lambda: self.peers.knocking_elsewhere(self.loop.time()),
+            lambda: self.peers.reporting_elsewhere(self.loop.time()),
         )
         self.leader = leader
         try:
@@ -99,12 +100,12 @@
     async def _watch_reach(self) -> None:
         """A leader that workers cannot reach, while they reach others, gives way."""
         while True:
-            await asyncio.sleep(c.PING_S)
+            await asyncio.sleep(constants.PING_S)
             leader, now = self.leader, self.loop.time()
             if leader is None or not leader.may_act():
                 continue
-            young = now - leader.workers.took_over < leader.workers.unreached_s()
-            if not young and leader.workers.out_of_reach(now):
+            young = now - leader.workers.took_over < leader.workers.health.unreached_s()
+            if not young and leader.workers.health.out_of_reach(now):
                 await self.election.resign("workers reach others, but not us")
 
     async def _learn_types(self) -> None:
@@ -117,7 +118,7 @@
                     self.fallback.types = {t.name: t for t in types}
             except StoreError as exc:
                 log.debug("reading machine types: %s", exc)
-            await asyncio.sleep(c.TYPES_S if self.fallback.types else 2.0)
+            await asyncio.sleep(constants.TYPES_S if self.fallback.types else 2.0)
 
     # --- the way of a request ------------------------------------------------
     async def _serve(self, request: Request) -> Response:
@@ -146,12 +147,12 @@
         return (
             bool(self.settings.peers)
             and not self.store.fresh()
-            and not self.peers.heard_any(now, c.PEER_FRESH_S)
+            and not self.peers.heard_any(now, constants.PEER_FRESH_S)
         )
 
     def _healthz(self) -> Response:
         now = self.loop.time()
-        young = now - self.started < c.YOUNG_S
+        young = now - self.started < constants.YOUNG_S
         return Response(503 if self._cut_off(now) and not young else 200)
 
     def _user(self, answer: Answer) -> Response:
@@ -184,7 +185,7 @@
             if status == 200:
                 return body.cbor_response(200, answer)
             return body.cbor_response(503, {"error": "not entitled now"})
-        self.peers.knock(report.machine, (report.session, report.seq), self.loop.time())
+        self.peers.note_turned_away(report.machine, (report.session, report.seq), self.loop.time())
         steward = self._steward()
         if steward is None:
             return body.cbor_response(421, {"error": "no leader"})
@@ -198,7 +199,10 @@
             raw = body.cbor_map(request.body)
             spec = names.job_from_wire(raw, self.wall())
             record = names.spec_to_record(spec)
-            if body.json_size(record) > self.settings.params.state.value_kb * 1024 * c.VALUE_FILL:
+            if (
+                body.json_size(record)
+                > self.settings.params.state.value_kb * 1024 * constants.VALUE_FILL
+            ):
                 raise body.MalformedError("too large to be kept")
         except body.MalformedError as exc:
             return self._user(await self._malformed(raw.get("id"), str(exc)))
@@ -225,8 +229,8 @@
             if steward is not None:
                 try:
                     accepts = message["op"] == "accept"
-                    limit = c.FORWARD_ACCEPT_S if accepts else c.FORWARD_S
-                    answer = await self.peers.forward(steward, message, limit, c.ACCEPT_S)
+                    limit = constants.FORWARD_ACCEPT_S if accepts else constants.FORWARD_S
+                    answer = await self.peers.forward(steward, message, limit, constants.ACCEPT_S)
                     if answer[0] != 503:
                         return answer
                 except NoAnswerError as exc:
@@ -259,7 +263,7 @@
         else:
             return NOT_NOW
         try:
-            return await asyncio.wait_for(work, c.FALLBACK_S)
+            return await asyncio.wait_for(work, constants.FALLBACK_S)
         except (StoreError, TimeoutError) as exc:
             log.debug("asking the store: %s", exc)
             return NOT_NOW
@@ -267,5 +271,5 @@
 
 def user_response(answer: Answer) -> Response:
     status, value = answer
-    retry = c.RETRY_AFTER_S if status in (429, 503, 504) else None
+    retry = constants.RETRY_AFTER_S if status in (429, 503, 504) else None
     return body.cbor_response(status, value if value is not None else {}, retry)
--- a/peathall/peers/service.py
+++ b/peathall/peers/service.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from peathall import constants as c
+from peathall import constants
 from peathall.settings import Peer
 from peathall.wire.http import HttpClient, NoAnswerError, Request, Response
 
@@ -23,13 +23,13 @@
 class PeerView:
     """What the last ping to a peer told."""
 
-    __slots__ = ("client", "heard", "knocks", "leads", "peer")
+    __slots__ = ("client", "heard", "leads", "peer", "turned_away")
 
     def __init__(self, peer: Peer) -> None:
         self.peer = peer
         self.client = HttpClient(peer.addr, "application/json", keep=8)
         self.heard = -1e9
-        self.knocks: dict[str, tuple[int, int]] = {}
+        self.turned_away: dict[str, tuple[int, int]] = {}
         self.leads = False
 
 
@@ -39,7 +39,7 @@
         self.handle = handle
         self.loop = asyncio.get_running_loop()
         # Worker -> session and sequence number of its latest report here, and when it came.
-        self.knocked: dict[str, tuple[tuple[int, int], float]] = {}
+        self.turned_away: dict[str, tuple[tuple[int, int], float]] = {}
         self.leads: Callable[[], bool] = lambda: False
 
     # --- serving -------------------------------------------------------------
@@ -47,7 +47,7 @@
         if request.method == "GET" and request.path == "/ping":
             told: dict[str, Any] = {"leads": self.leads()}
             if request.query == KNOCKS:
-                told["knocks"] = self.knocking(self.loop.time())
+                told["knocks"] = self.turned_away_lately(self.loop.time())
             return json_response(200, told)
         if request.method == "POST" and request.path == "/forward":
             try:
@@ -60,20 +60,24 @@
             return json_response(status, value)
         return json_response(404, None)
 
-    def knock(self, worker: str, order: tuple[int, int], now: float) -> None:
+    def note_turned_away(self, worker: str, order: tuple[int, int], now: float) -> None:
         """We turn a worker's report away. A late copy of an older one is no news."""
-        known = self.knocked.get(worker)
+        known = self.turned_away.get(worker)
         if known is None or order > known[0]:
-            self.knocked[worker] = (order, now)
+            self.turned_away[worker] = (order, now)
 
-    def knocking(self, now: float) -> dict[str, tuple[int, int]]:
+    def turned_away_lately(self, now: float) -> dict[str, tuple[int, int]]:
         """Workers that we have turned away lately, with their latest report's number."""
-        for worker, (_, at) in list(self.knocked.items()):
-            if now - at > c.KNOCK_MEMORY_S:
-                del self.knocked[worker]
+        for worker, (_, at) in list(self.turned_away.items()):
+            if now - at > constants.REPORT_ORDER_MEMORY_S:
+                del self.turned_away[worker]
         # All of them, however many: a live machine left out here would look silent to the
         # leader and be deleted.
-        return {w: order for w, (order, at) in self.knocked.items() if now - at < c.KNOCK_S}
+        return {
+            w: order
+            for w, (order, at) in self.turned_away.items()
+            if now - at < constants.TURNED_AWAY_S
+        }
 
     # --- asking --------------------------------------------------------------
     async def forward(
@@ -104,20 +108,20 @@
     async def ping_all(self) -> None:
         while True:
             await asyncio.gather(*(self._ping(view) for view in self.views.values()))
-            await asyncio.sleep(c.PING_S)
+            await asyncio.sleep(constants.PING_S)
 
     async def _ping(self, view: PeerView) -> None:
         try:
             # Only a leader needs to know who knocks elsewhere.
             path = f"/ping?{KNOCKS}" if self.leads() else "/ping"
-            _, raw = await view.client.request("GET", path, b"", c.PING_S)
+            _, raw = await view.client.request("GET", path, b"", constants.PING_S)
             told = orjson.loads(raw)
             knocks = told.get("knocks", {})
-            view.knocks = {str(k): (int(a), int(b)) for k, (a, b) in knocks.items()}
+            view.turned_away = {str(k): (int(a), int(b)) for k, (a, b) in knocks.items()}
             view.leads = bool(told["leads"])
             view.heard = self.loop.time()
         except (NoAnswerError, ValueError, KeyError, TypeError, AttributeError):
-            view.knocks, view.leads = {}, False
+            view.turned_away, view.leads = {}, False
 
     def heard_any(self, now: float, within: float) -> bool:
         return any(now - view.heard < within for view in self.views.values())
@@ -126,12 +130,12 @@
         """The peer that has lately said that it leads."""
         return next((v.peer.name for v in self.views.values() if v.leads), None)
 
-    def knocking_elsewhere(self, now: float) -> dict[str, tuple[int, int]]:
+    def reporting_elsewhere(self, now: float) -> dict[str, tuple[int, int]]:
         """Workers that are alive, since they have reached another controller."""
         found: dict[str, tuple[int, int]] = {}
         for view in self.views.values():
-            if now - view.heard < 3 * c.PING_S:
-                for name, order in view.knocks.items():
+            if now - view.heard < 3 * constants.PING_S:
+                for name, order in view.turned_away.items():
                     found[name] = max(order, found.get(name, (0, -1)))
         return found
 
--- a/peathall/placement/ordering.py
+++ b/peathall/placement/ordering.py
@@ -11,7 +11,7 @@
 
 from zlib import crc32
 
-from peathall import constants as c
+from peathall import constants
 from peathall.placement.views import JobView, MachineView
 from peathall.settings import Objective
 from peathall.wire.names import JobSpec
@@ -63,7 +63,7 @@
 
 def gathering_s(spec: JobSpec) -> float:
     """By how much sooner a gang counts as aged: its machines fall free one by one."""
-    return min(c.GATHER_MOST_S, c.GATHER_S * (spec.tasks - 1)) if spec.gang else 0.0
+    return min(constants.GATHER_MOST_S, constants.GATHER_S * (spec.tasks - 1)) if spec.gang else 0.0
 
 
 def order(job: JobView, totals: tuple[float, float]) -> tuple[float, ...]:
@@ -72,7 +72,7 @@
     spec = job.spec
     # Small jobs go before large ones of about the same urgency: when not all can be in
     # time, more of them are.
-    start = job.latest_start + c.EFFORT_WEIGHT * effort(job, totals)
+    start = job.latest_start + constants.EFFORT_WEIGHT * effort(job, totals)
     if job.aged:
         return (-1, spec.submitted - gathering_s(spec))
     return (spec.priority, not job.covered, not spec.gang, start, spec.submitted)
--- a/peathall/placement/rounds.py
+++ b/peathall/placement/rounds.py
@@ -18,8 +18,8 @@
 import msgspec
 from msgspec import Struct
 
-from peathall import constants as c
-from peathall.books import Books
+from peathall import constants
+from peathall.cluster import ClusterState
 from peathall.jobs.model import Attempt, AttemptPhase
 from peathall.jobs.ranges import Ranges
 from peathall.placement.views import Start
@@ -109,12 +109,12 @@
 class RoundRecords:
     """Writes, reads, compacts and drops the records of rounds."""
 
-    def __init__(self, books: Books, writer: Writer) -> None:
-        self.books = books
+    def __init__(self, cluster: ClusterState, writer: Writer) -> None:
+        self.cluster = cluster
         self.writer = writer
         self._number = 0
         self._sizes: dict[str, RecordSize] = {}
-        books.on_round_over = self.drop
+        cluster.on_round_over = self.drop
 
     def load(self, items: list[Item], now: float) -> None:
         """After a take-over: book all attempts that may still exist."""
@@ -126,14 +126,14 @@
             for entry in entries:
                 self._adopt(entry, item.key, now)
         for item in items:
-            if item.key not in self.books.rounds:
+            if item.key not in self.cluster.rounds:
                 self.drop(item.key)
 
     def _adopt(self, entry: RoundEntry, key: str, now: float) -> None:
-        job = self.books.jobs.get(entry.job)
+        job = self.cluster.jobs.get(entry.job)
         if job is None:
             return  # archived, which is done only after all its attempts were gone
-        machine = self.books.machine(entry.machine, "", "", False, MachinePhase.UNHEARD, now)
+        machine = self.cluster.machine(entry.machine, "", "", False, MachinePhase.UNHEARD, now)
         for task in Ranges(entry.tasks):
             if task in job.done:
                 continue  # it has exited, and is never started again
@@ -142,8 +142,8 @@
                 # one was surely gone.
                 if job.attempts[task].number >= entry.attempt:
                     continue
-                self.books.release(job.attempts[task], now)
-            attempt = self.books.book(job, task, entry.attempt, machine, key)
+                self.cluster.release(job.attempts[task], now)
+            attempt = self.cluster.book(job, task, entry.attempt, machine, key)
             attempt.enter(AttemptPhase.SENT, now)
 
     def write(self, starts: list[Start], now: float) -> list[Piece]:
@@ -151,7 +151,7 @@
         pieces = []
         for entries in split_entries(self._entries(starts), self.writer.value_limit):
             self._number += 1
-            key = f"{ROUND}{self.books.term:08d}-{self._number:07d}"
+            key = f"{ROUND}{self.cluster.term:08d}-{self._number:07d}"
             attempts = [attempt for entry in entries for attempt in self._book(entry, key)]
             self._sizes[key] = RecordSize(len(attempts), now)
             stored = self.writer.submit([Put(key, to_record(entries))])
@@ -161,8 +161,8 @@
     def _entries(self, starts: list[Start]) -> list[RoundEntry]:
         entries = []
         for job_id, group in groupby(starts, key=lambda start: start.job):
-            waiting = iter(self.books.jobs[job_id].todo)
-            number = self.books.new_attempt_number()
+            waiting = iter(self.cluster.jobs[job_id].todo)
+            number = self.cluster.new_attempt_number()
             for start in group:
                 tasks = Ranges()
                 for _ in range(start.count):
@@ -171,9 +171,10 @@
         return entries
 
     def _book(self, entry: RoundEntry, key: str) -> list[Attempt]:
-        job, machine = self.books.jobs[entry.job], self.books.machines[entry.machine]
+        job, machine = self.cluster.jobs[entry.job], self.cluster.machines[entry.machine]
         return [
-            self.books.book(job, task, entry.attempt, machine, key) for task in Ranges(entry.tasks)
+            self.cluster.book(job, task, entry.attempt, machine, key)
+            for task in Ranges(entry.tasks)
         ]
 
     def drop(self, key: str) -> None:
@@ -184,17 +185,17 @@
 
     def compact(self, now: float) -> None:
         """Offer to write records anew that have long named many more attempts than may exist."""
-        for key, attempts in self.books.rounds.items():
+        for key, attempts in self.cluster.rounds.items():
             size = self._sizes.get(key)
             if (
                 size is not None
-                and now - size.since > c.ROUND_COMPACT_S
-                and size.attempts >= c.ROUND_COMPACT_FACTOR * len(attempts)
+                and now - size.since > constants.ROUND_COMPACT_S
+                and size.attempts >= constants.ROUND_COMPACT_FACTOR * len(attempts)
             ):
                 self.writer.offer(f"compact {key}", partial(self._compacted, key, now))
 
     def _compacted(self, key: str, now: float) -> Change | None:
-        attempts = list(self.books.rounds.get(key, ()))
+        attempts = list(self.cluster.rounds.get(key, ()))
         if not attempts or key not in self.writer.versions:
             return None
         # Conditional on the record as it is now: once dropped, it must not be created anew.
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -1,4 +1,4 @@
-"""Rounds at the leader: gather, decide, store the intent, then let the starts go."""
+"""Rounds at the leader: look, decide, store the intent, then let the starts go."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from itertools import groupby
 
-from peathall import constants as c
-from peathall.books import Books
+from peathall import constants
+from peathall.cluster import ClusterState
 from peathall.jobs.model import Attempt, AttemptPhase, JobPhase, Trust
 from peathall.placement.bookings import Booking, Bookings
 from peathall.placement.planner import Round
@@ -27,14 +27,14 @@
 class Placement:
     def __init__(
         self,
-        books: Books,
+        cluster: ClusterState,
         params: Params,
         writer: Writer,
         workers: Workers,
         wall: Callable[[], float],
         may_act: Callable[[], bool],
     ) -> None:
-        self.books = books
+        self.cluster = cluster
         self.params = params
         self.writer = writer
         self.workers = workers
@@ -42,37 +42,39 @@
         self.may_act = may_act
         self.loop = asyncio.get_running_loop()
         self.wake = asyncio.Event()
-        self.short: list[tuple[JobView, int]] = []
-        self.leftover: dict[str, list[float]] = {}
-        self.on_short: Callable[[], None] = lambda: None
+        self.unplaced: list[tuple[JobView, int]] = []
+        self.spare_room: dict[str, list[float]] = {}
+        self.on_unplaced: Callable[[], None] = lambda: None
         self.bookings = Bookings()
-        self.snapshot = Snapshot(books, params, workers, self.bookings)
-        self.rounds = RoundRecords(books, writer)
+        self.snapshot = Snapshot(cluster, params, workers, self.bookings)
+        self.rounds = RoundRecords(cluster, writer)
         workers.on_notice = self.evacuate
 
     # --- rounds --------------------------------------------------------------
-    def nudge(self) -> None:
+    def request_round(self) -> None:
         self.wake.set()
 
     async def run(self) -> None:
         """Rounds follow one another at a distance that grows with what a round takes."""
         while True:
             try:
-                await asyncio.wait_for(self.wake.wait(), c.ROUND_IDLE_S)
+                await asyncio.wait_for(self.wake.wait(), constants.ROUND_IDLE_S)
             except TimeoutError:
                 pass
-            await asyncio.sleep(c.ROUND_GAP_S)
+            await asyncio.sleep(constants.ROUND_GAP_S)
             self.wake.clear()
             if not self.may_act():
                 continue
             began = self.loop.time()
             await self.round(began)
-            await asyncio.sleep(min(c.ROUND_IDLE_S, (self.loop.time() - began) * c.ROUND_LOAD))
+            await asyncio.sleep(
+                min(constants.ROUND_IDLE_S, (self.loop.time() - began) * constants.ROUND_LOAD)
+            )
 
     async def round(self, now: float) -> None:
         plan = await self.decide(now)
-        self.short, self.leftover = plan.short, plan.leftover
-        self.on_short()
+        self.unplaced, self.spare_room = plan.unplaced, plan.spare_room
+        self.on_unplaced()
         for job_id, task in plan.stops:
             self._preempt(job_id, task, now)
         for move in plan.moves:
@@ -93,7 +95,7 @@
         current = Round(
             snapshot.machines(),
             snapshot.teams,
-            self.books.usage,
+            self.cluster.usage,
             keep_ordinary=any(not job.spec.spot for job in active),
             shapes=snapshot.gang_shapes(),
             lowest=max((job.spec.priority for job in active if job.attempts), default=-1),
@@ -102,14 +104,14 @@
         )
         since = self.loop.time()
         for _ in current.run(jobs):
-            if self.loop.time() - since > c.SLICE_S:
+            if self.loop.time() - since > constants.SLICE_S:
                 await asyncio.sleep(0)
                 since = self.loop.time()
         return current.plan
 
     def _still_wanted(self, booking: Booking, now: float) -> bool:
-        job = self.books.jobs.get(booking.spec.id)
-        machine = self.books.machines.get(booking.machine)
+        job = self.cluster.jobs.get(booking.spec.id)
+        machine = self.cluster.machines.get(booking.machine)
         if job is None or machine is None or job.phase is not JobPhase.ACTIVE:
             return False
         attempt = job.attempts.get(booking.task)
@@ -118,22 +120,22 @@
 
     def _move(self, move: Move, now: float) -> None:
         """Its next place is booked: the replica may stop."""
-        attempt = self.books.jobs[move.job].attempts.get(move.task)
+        attempt = self.cluster.jobs[move.job].attempts.get(move.task)
         if attempt is None or attempt.leaving:
             return
         spec = attempt.job.spec
         log.info("replica %s/%d moves to %s", move.job, move.task, move.machine)
-        until = now + self.workers.lapse_s()  # by then the old attempt is gone in any case
+        until = now + self.workers.settings.lapse_s  # by then the old attempt is gone in any case
         self.bookings.add(Booking(spec, move.task, move.machine, until))
         self._stop_in_order(attempt, now)
 
     def _preempt(self, job_id: str, task: int, now: float) -> None:
-        job = self.books.jobs.get(job_id)
+        job = self.cluster.jobs.get(job_id)
         if job is None or task not in job.attempts:
             return
         log.info("task %s/%d is stopped to make room", job_id, task)
         attempt, spec = job.attempts[task], job.spec
-        if not spec.gang and spec.checkpoint_s <= c.SAVES_WORTH * spec.save_s:
+        if not spec.gang and spec.checkpoint_s <= constants.SAVES_WORTH * spec.save_s:
             # What it has done since it last saved by itself is little; whoever needs the
             # room would wait for the save.
             self.workers.stop(attempt, 0.0, now)
@@ -147,7 +149,9 @@
             spec = attempt.job.spec
             if attempt.leaving or spec.daemon:
                 continue  # a replica is stopped once its next place is booked
-            rest = max(spec.expected_s - (now - attempt.since), spec.expected_s * c.ESTIMATE_FLOOR)
+            rest = max(
+                spec.expected_s - (now - attempt.since), spec.expected_s * constants.ESTIMATE_FLOOR
+            )
             if not spec.checkpoint_s and attempt.running and rest < left:
                 continue  # it may well be done before
             self._stop_in_order(attempt, now)
@@ -155,7 +159,7 @@
     def _stop_in_order(self, attempt: Attempt, now: float) -> None:
         """With time to save; a gang is stopped as a whole, or the save fails."""
         spec = attempt.job.spec
-        grace = spec.save_s + c.SAVE_GRACE_S if spec.checkpoint_s else 0.0
+        grace = spec.save_s + constants.SAVE_GRACE_S if spec.checkpoint_s else 0.0
         for target in list(attempt.job.attempts.values()) if spec.gang else [attempt]:
             self.workers.stop(target, grace, now)
 
@@ -166,11 +170,11 @@
         wanted: dict[str, int] = {}
         for start in starts:
             wanted[start.job] = wanted.get(start.job, 0) + start.count
-            machine = self.books.machines.get(start.machine)
+            machine = self.cluster.machines.get(start.machine)
             if machine is None or not self.snapshot.usable(machine, now):
                 dead.add(start.job)
         for job_id, count in wanted.items():
-            job = self.books.jobs.get(job_id)
+            job = self.cluster.jobs.get(job_id)
             if job is None or job.phase is not JobPhase.ACTIVE or len(job.todo) < count:
                 dead.add(job_id)
         return [start for start in starts if start.job not in dead]
@@ -179,8 +183,8 @@
         """One line for each job, however many machines it goes to."""
         wall = self.wall()
         for job_id, group in groupby(starts, key=lambda start: start.job):
-            spec = self.books.jobs[job_id].spec
-            chosen = [(self.books.machines[start.machine], start.count) for start in group]
+            spec = self.cluster.jobs[job_id].spec
+            chosen = [(self.cluster.machines[start.machine], start.count) for start in group]
             log.info(
                 "%s %s: %d tasks to %d machines (%s; %d to fetch) after %.1f s",
                 spec.class_name,
@@ -204,7 +208,7 @@
 
     def _note_late(self, starts: list[Start], now: float) -> None:
         for job_id in dict.fromkeys(start.job for start in starts):
-            job = self.books.jobs[job_id]
+            job = self.cluster.jobs[job_id]
             if job.trust is not Trust.SUSPECT and not job.attempts:
                 job.late |= self.snapshot.has_aged(job, now)
 
@@ -223,7 +227,7 @@
         stored = [piece for piece in pieces if piece not in failed]
         abandoned += [a for piece in stored for a in piece.attempts if a.job in broken]
         for attempt in abandoned:
-            self.books.release(attempt, self.loop.time())
+            self.cluster.release(attempt, self.loop.time())
         for piece in stored:
             self._let_start(piece)
 
@@ -235,14 +239,14 @@
                 continue
             attempt.enter(AttemptPhase.INTENDED, now)
             if attempt.stopping or attempt.job.phase is not JobPhase.ACTIVE:
-                self.books.release(attempt, now)
+                self.cluster.release(attempt, now)
             else:
                 spec = attempt.job.spec
-                patient = not spec.gang and spec.id not in self.snapshot.covered
-                pushed[attempt.machine] = patient and pushed.get(attempt.machine, True)
-        if piece.key not in self.books.rounds:
+                deferrable = not spec.gang and spec.id not in self.snapshot.covered
+                pushed[attempt.machine] = deferrable and pushed.get(attempt.machine, True)
+        if piece.key not in self.cluster.rounds:
             self.rounds.drop(piece.key)
-        for name, patient in pushed.items():
-            machine = self.books.machines.get(name)
+        for name, deferrable in pushed.items():
+            machine = self.cluster.machines.get(name)
             if machine is not None:
-                self.workers.push(machine, patient)
+                self.workers.delivery.push(machine, deferrable)
--- a/peathall/placement/snapshot.py
+++ b/peathall/placement/snapshot.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Iterator
 
-from peathall import constants as c
-from peathall.books import Books
+from peathall import constants
+from peathall.cluster import ClusterState
 from peathall.jobs.model import Attempt, Job, JobPhase, Trust
 from peathall.placement.bookings import Bookings
 from peathall.placement.ordering import gathering_s, latest_start
@@ -26,8 +26,10 @@
 class Snapshot:
     """What a round decides on. Machines' details are looked up during the round, when needed."""
 
-    def __init__(self, books: Books, params: Params, workers: Workers, bookings: Bookings) -> None:
-        self.books = books
+    def __init__(
+        self, cluster: ClusterState, params: Params, workers: Workers, bookings: Bookings
+    ) -> None:
+        self.cluster = cluster
         self.params = params
         self.workers = workers
         self.bookings = bookings
@@ -43,7 +45,7 @@
 
     def active(self) -> list[Job]:
         """Jobs with work left."""
-        return [job for job in self.books.jobs.values() if job.phase is JobPhase.ACTIVE]
+        return [job for job in self.cluster.jobs.values() if job.phase is JobPhase.ACTIVE]
 
     def jobs(self) -> list[JobView]:
         """Those of which a task may start or a replica is to move."""
@@ -59,22 +61,22 @@
         booked = self.bookings.room()
         return [
             self._machine_view(machine, booked.get(machine.name))
-            for machine in self.books.machines.values()
+            for machine in self.cluster.machines.values()
             if self.usable(machine, self.now)
         ]
 
     def usable(self, machine: Machine, now: float) -> bool:
         """Whether it takes new work: it hears us, and we have heard it lately."""
-        silent = self.workers.silence(machine, now)
-        return machine.usable and machine.cpus > 0 and silent < self.workers.suspect_s()
+        silent = self.workers.health.silence(machine, now)
+        return machine.usable and machine.cpus > 0 and silent < self.workers.health.suspect_s()
 
     def gang_shapes(self) -> list[JobSpec]:
         """The largest gang of each class that came lately."""
-        gangs = [job.spec for job in self.books.jobs.values() if job.spec.gang]
+        gangs = [job.spec for job in self.cluster.jobs.values() if job.spec.gang]
         lately = [
             spec
             for spec in [*self.shapes.values(), *gangs]
-            if self.wall - spec.submitted < c.SHAPE_MEMORY_S
+            if self.wall - spec.submitted < constants.SHAPE_MEMORY_S
         ]
         self.shapes = {}
         for spec in lately:
@@ -111,7 +113,7 @@
         whose zone is not known: known from records only, neither heard nor listed yet."""
         if not (job.spec.one_zone or job.spec.spread):
             return False
-        return any(not self.books.machines[a.machine].zone for a in job.attempts.values())
+        return any(not self.cluster.machines[a.machine].zone for a in job.attempts.values())
 
     @staticmethod
     def _may_start(job: Job, now: float) -> int:
@@ -128,7 +130,7 @@
             return []
         found = []
         for attempt in job.attempts.values():
-            machine = self.books.machines[attempt.machine]
+            machine = self.cluster.machines[attempt.machine]
             if machine.phase is MachinePhase.DRAINING and not attempt.stopping:
                 found.append(MovingReplica(attempt.task, machine.zone))
         return found
@@ -148,13 +150,13 @@
         zones: dict[str, int] = {}
         if job.spec.one_zone or job.spec.spread:
             for attempt in job.attempts.values():
-                zone = self.books.machines[attempt.machine].zone
+                zone = self.cluster.machines[attempt.machine].zone
                 zones[zone] = zones.get(zone, 0) + 1
         hosts = {a.machine for a in job.attempts.values()} if job.spec.daemon else ()
-        avoid = self.workers.blame.avoid(job)
+        avoid = self.workers.faults.avoid(job)
         if job.trust is Trust.SUSPECT:
             # A probe, in room that nobody else wants: whether it goes well is soon known.
-            last = self.wall + c.PROBE_LATER_S
+            last = self.wall + constants.PROBE_LATER_S
             return JobView(
                 job.spec,
                 todo,
@@ -176,7 +178,7 @@
             latest,
             zones,
             lingering=job.spec.gang and bool(job.attempts),
-            urgent=aged or job.spec.daemon or latest - self.wall < c.URGENT_S,
+            urgent=aged or job.spec.daemon or latest - self.wall < constants.URGENT_S,
             aged=aged,
             hosts=hosts,
             moving=moving,
@@ -187,10 +189,10 @@
 
     @staticmethod
     def has_aged(job: Job, now: float) -> bool:
-        return now - job.idle_since > c.AGED_S - gathering_s(job.spec)
+        return now - job.idle_since > constants.AGED_S - gathering_s(job.spec)
 
     def _fetch_s(self, spec: JobSpec) -> float:
-        kinds = self.books.types.values()
+        kinds = self.cluster.types.values()
         rates = [k.fetch_gb_per_s for k in kinds if spec.types is None or k.name in spec.types]
         return spec.image_gb / min(rates, default=1.0)
 
@@ -207,9 +209,9 @@
             (machine.cpus, machine.gpus, machine.ram),
             free,
             machine.images,
-            int(self.workers.silence(machine, self.now) / report_s),
+            int(self.workers.health.silence(machine, self.now) / report_s),
             lambda: self._detail(machine),
-            max(0, c.MACHINE_TASKS - self.workers.in_reports(machine)),
+            max(0, constants.MACHINE_TASKS - self.workers.in_reports(machine)),
         )
 
     def _detail(self, machine: Machine) -> Detail:
@@ -233,11 +235,11 @@
             return None
         spec = attempt.job.spec
         ran = now - attempt.since if attempt.running else 0.0
-        if attempt.job.late and ran < c.SETTLED_S:
+        if attempt.job.late and ran < constants.SETTLED_S:
             return None  # it has waited so long that its start shall count
         lost = spec.save_s if spec.checkpoint_s else ran
-        if ran < c.SETTLED_S:
-            lost += c.SETTLED_S  # its start would not count any more
+        if ran < constants.SETTLED_S:
+            lost += constants.SETTLED_S  # its start would not count any more
         share = max(spec.cpus / machine.cpus, spec.gpus / max(machine.gpus, 1.0))
         return Victim(
             (spec.id, attempt.task),
@@ -245,7 +247,7 @@
             spec.priority,
             spec.team,
             spec.id in self.covered,
-            (lost + c.RESTART_S) * share,
+            (lost + constants.RESTART_S) * share,
             max(1.0, spec.expected_s - ran),
             machine=machine.name,
         )
@@ -254,7 +256,7 @@
         """What of the team is being stopped, and what else a job of that priority may stop."""
         cpus = gpus = 0.0
         units: list[list[Victim]] = []
-        for job in self.books.jobs.values():
+        for job in self.cluster.jobs.values():
             spec = job.spec
             if spec.team != team or not job.attempts:
                 continue
@@ -268,7 +270,7 @@
         """Each task of an array by itself; a gang as a whole, if none of it is to be left alone."""
         victims = []
         for attempt in job.attempts.values():
-            machine = self.books.machines[attempt.machine]
+            machine = self.cluster.machines[attempt.machine]
             victim = self._victim(attempt, machine, self.now) if machine.cpus else None
             if victim is not None:
                 victims.append(victim)
--- a/peathall/placement/views.py
+++ b/peathall/placement/views.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection, Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from peathall import constants as c
+from peathall import constants
 from peathall.wire.names import JobSpec
 
 EPS = 1e-6  # of a CPU, GPU or GB; sums of decimal numbers are not exact
@@ -116,7 +116,7 @@
         images: Container[str] = (),
         stale: int = 0,
         detail: Callable[[], Detail] = Detail,
-        slots: int = c.MACHINE_TASKS,
+        slots: int = constants.MACHINE_TASKS,
     ) -> None:
         self.slots = slots  # how many more tasks its reports have room for
         self.name = name
@@ -263,8 +263,8 @@
         self.starts: list[Start] = []
         self.stops: list[tuple[str, int]] = []  # (job, task) to be stopped with time to save
         self.moves: list[Move] = []
-        self.short: list[tuple[JobView, int]] = []  # jobs that lack room, and for how many tasks
-        self.leftover: dict[str, list[float]] = {}  # room left on each machine
+        self.unplaced: list[tuple[JobView, int]] = []  # jobs that lack room, and for how many tasks
+        self.spare_room: dict[str, list[float]] = {}  # room left on each machine
 
 
 def fits_in(free: Sequence[float], spec: JobSpec) -> int:
--- a/peathall/settings.py
+++ b/peathall/settings.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
-from peathall import constants as c
+from peathall import constants
 
 Positive = Annotated[float, Meta(gt=0)]
 NotNegative = Annotated[float, Meta(ge=0)]
@@ -59,7 +59,7 @@
     def lapse_s(self) -> float:
         """So long after the last answer that may have renewed its lease, a worker surely has no
         tasks any more, however its clock runs."""
-        return self.lease_s * (1 + 2 * c.DRIFT) + c.LAPSE_MARGIN_S
+        return self.lease_s * (1 + 2 * constants.DRIFT) + constants.LAPSE_MARGIN_S
 
 
 class NextLimits(Struct, frozen=True):
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -9,7 +9,7 @@
 
 from msgspec import Struct
 
-from peathall import constants as c
+from peathall import constants
 from peathall.settings import StateSettings
 from peathall.store.budget import Budget
 from peathall.wire import body
@@ -102,21 +102,23 @@
         self.http = HttpClient(addr)
         self.watch_http = HttpClient(addr)
         self.loop = asyncio.get_running_loop()
-        self.requests = Budget(limits.rps * self._share(c.LEADER_RPS_SHARE, False))
-        self.writes = Budget(limits.write_rps * self._share(c.LEADER_WRITE_SHARE, False))
+        self.requests = Budget(limits.rps * self._share(constants.LEADER_RPS_SHARE, False))
+        self.writes = Budget(limits.write_rps * self._share(constants.LEADER_WRITE_SHARE, False))
         self.last_good = -1e9
         self.failing = False  # the latest request was not answered, or refused
 
     def set_leading(self, leading: bool) -> None:
         now = self.loop.time()
-        self.requests.set_rate(self.limits.rps * self._share(c.LEADER_RPS_SHARE, leading), now)
+        self.requests.set_rate(
+            self.limits.rps * self._share(constants.LEADER_RPS_SHARE, leading), now
+        )
         self.writes.set_rate(
-            self.limits.write_rps * self._share(c.LEADER_WRITE_SHARE, leading), now
+            self.limits.write_rps * self._share(constants.LEADER_WRITE_SHARE, leading), now
         )
 
     def fresh(self) -> bool:
         """What we know from the service is no older than a watch's hold."""
-        return self.loop.time() - self.last_good < c.STORE_FRESH_S and not self.failing
+        return self.loop.time() - self.last_good < constants.STORE_FRESH_S and not self.failing
 
     def spare_writes(self) -> float:
         return self.writes.spare(self.loop.time())
@@ -129,8 +131,8 @@
     async def _budget(self, writes: int = 0, first: bool = False) -> None:
         """Reads leave some of the budget to what goes first, and are given up in time: more of
         them than it allows would else wait in an ever longer line."""
-        keep = 0.0 if writes or first else c.READS_KEEP
-        until = self.loop.time() + c.STORE_TIMEOUT_S
+        keep = 0.0 if writes or first else constants.READS_KEEP
+        until = self.loop.time() + constants.STORE_TIMEOUT_S
         while (pause := self.requests.wait(1, self.loop.time(), keep)) > 0:
             if keep and self.loop.time() + pause > until:
                 raise StoreError("the request budget is used up")
@@ -143,7 +145,7 @@
         method: str,
         path: str,
         value: Any = None,
-        timeout: float = c.STORE_TIMEOUT_S,
+        timeout: float = constants.STORE_TIMEOUT_S,
         http: HttpClient | None = None,
     ) -> tuple[int, Any]:
         data = b"" if value is None else body.cbor_bytes(value)
@@ -229,7 +231,7 @@
 
     async def watch(self, prefix: str, after: int) -> tuple[int, list[Change]] | None:
         """Changes after a revision; None if the service no longer knows that far back."""
-        return await self._changes(prefix, after, c.WATCH_HOLD_S, self.watch_http)
+        return await self._changes(prefix, after, constants.WATCH_HOLD_S, self.watch_http)
 
     async def news(self, prefix: str, after: int) -> tuple[int, list[Change]] | None:
         """The same without waiting for any."""
@@ -240,7 +242,9 @@
     ) -> tuple[int, list[Change]] | None:
         await self._budget(first=hold > 0)  # such are few
         path = f"/watch?prefix={quote(prefix)}&after={after}&hold_ms={int(hold * 1000)}"
-        status, raw = await self._ask("GET", path, timeout=hold + c.STORE_TIMEOUT_S, http=http)
+        status, raw = await self._ask(
+            "GET", path, timeout=hold + constants.STORE_TIMEOUT_S, http=http
+        )
         if status == 410:
             return None
         if status != 200:
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -18,7 +18,7 @@
 from enum import Enum, auto
 from typing import Any
 
-from peathall import constants as c
+from peathall import constants
 from peathall.settings import StateSettings
 from peathall.store.client import (
     ConflictError,
@@ -88,7 +88,7 @@
     ) -> None:
         self.store = store
         self.limits = limits
-        self.value_limit = int(limits.value_kb * 1024 * c.VALUE_FILL)  # bytes of a value
+        self.value_limit = int(limits.value_kb * 1024 * constants.VALUE_FILL)  # bytes of a value
         self.lead = lead
         self.may_act = may_act
         self.on_deposed = on_deposed
@@ -157,7 +157,7 @@
     def _due(self) -> str | None:
         """What has waited for budget to spare for as long as it may."""
         name, since = next(iter(self.must.items()), ("", self.loop.time()))
-        return name if self.loop.time() - since > c.SPARE_MOST_S else None
+        return name if self.loop.time() - since > constants.SPARE_MOST_S else None
 
     def _take(self) -> list[Change]:
         """The oldest changes that fit into one transaction and touch no key twice."""
@@ -170,7 +170,7 @@
             touched = {op.key for op in change.ops} | set(change.conditions)
             if batch and (
                 ops + len(change.ops) > self.limits.txn_ops
-                or size + change.size > c.TXN_BYTES
+                or size + change.size > constants.TXN_BYTES
                 or checks + len(touched) >= 4 * self.limits.txn_ops
                 or touched & keys
             ):
@@ -215,7 +215,7 @@
                 continue
             if not self.may_act():
                 # Stand still, do not forget: the lease may come back to life.
-                await asyncio.sleep(c.STORE_RETRY_S)
+                await asyncio.sleep(constants.STORE_RETRY_S)
                 continue
             batch = self._take()
             if not batch:
@@ -229,7 +229,7 @@
         """Only such writes wait as may, and there is no budget to spare."""
         self.wake.clear()
         try:
-            await asyncio.wait_for(self.wake.wait(), c.SPARE_WAIT_S)
+            await asyncio.wait_for(self.wake.wait(), constants.SPARE_WAIT_S)
         except TimeoutError:
             pass
 
@@ -250,7 +250,7 @@
                 log.info("no answer to a commit, or to whether it was carried out: %s", exc)
                 doubt = True
                 self._enter(WriterPhase.IN_DOUBT)
-                await asyncio.sleep(c.STORE_RETRY_S)
+                await asyncio.sleep(constants.STORE_RETRY_S)
             except InvalidError as exc:
                 # Larger than is allowed, or more at once: repeating it would hold up all others
                 # for ever. Whichever of them it is, the others go on without it.
@@ -264,7 +264,7 @@
                 if not refused:
                     log.info("commit refused, repeating it: %s", exc)
                     refused = True
-                await asyncio.sleep(c.STORE_RETRY_S)
+                await asyncio.sleep(constants.STORE_RETRY_S)
             except ConflictError as exc:
                 if self.lead.key in exc.failed:
                     break
@@ -314,7 +314,7 @@
             try:
                 return await self._tried(ops, conditions)
             except StoreError:
-                await asyncio.sleep(c.STORE_RETRY_S)
+                await asyncio.sleep(constants.STORE_RETRY_S)
         return 0
 
     async def _fence(self) -> bool:
@@ -333,7 +333,7 @@
             except LeaseGoneError:
                 return False
             except (StoreError, ConflictError):
-                await asyncio.sleep(c.STORE_RETRY_S)
+                await asyncio.sleep(constants.STORE_RETRY_S)
         return False
 
     async def _split(self, batch: list[Change], failed: list[str]) -> None:
@@ -362,89 +362,3 @@
         for change in batch:
             if not change.done.done():
                 change.done.set_exception(error)
-
-
-class Gather:
-    """Entries that share records: all that wait when a transaction is made up go into one.
-
-    Each would else cost a change of its own, and a swarm of small jobs more of them than the
-    state service grants.
-    """
-
-    def __init__(self, writer: Writer, term: int, prefix: str, field: str) -> None:
-        self.writer = writer
-        self.stem = f"{prefix}{term:08d}-"
-        self.field = field
-        self.limit = writer.value_limit
-        # Conditions of a transaction are limited too; a quarter is left for other changes.
-        self.checks = 3 * writer.limits.txn_ops
-        self.number = 0
-        self.waiting: list[Entry] = []
-
-    def add(self, value: Any, conditions: dict[str, int] | None = None) -> asyncio.Future[str]:
-        """The future gives the key of the record in which the entry was stored."""
-        entry = Entry(value, conditions or {})
-        if self.writer.phase is WriterPhase.STOPPED:
-            entry.stored.set_exception(DeposedError())
-        else:
-            self.waiting.append(entry)
-            self.writer.ask_first(self.stem, self._make)
-        return entry.stored
-
-    def _make(self) -> Change | None:
-        taken: list[Entry] = []
-        size, conditions = json_size({self.field: []}), dict[str, int]()
-        for entry in self.waiting:
-            size += entry.size + 1
-            if taken and (
-                size > self.limit or len(conditions) + len(entry.conditions) > self.checks
-            ):
-                break
-            taken.append(entry)
-            conditions |= entry.conditions
-        if not taken:
-            return None
-        del self.waiting[: len(taken)]
-        if self.waiting:
-            self.writer.ask_first(self.stem, self._make)
-        self.number += 1
-        key = f"{self.stem}{self.number:07d}"
-        change = Change(conditions, [Put(key, {self.field: [entry.value for entry in taken]})])
-        change.done.add_done_callback(lambda done: self._settle(key, taken, done))
-        return change
-
-    def _settle(self, key: str, taken: list[Entry], done: asyncio.Future[int]) -> None:
-        error = done.exception() if not done.cancelled() else DeposedError()
-        failed = set(error.failed) if isinstance(error, ConflictError) else set()
-        again = []
-        for entry in taken:
-            if entry.stored.done():
-                continue
-            if error is None:
-                entry.stored.set_result(key)
-            elif failed and key not in failed and not failed & entry.conditions.keys():
-                again.append(entry)  # only its neighbours' conditions did not hold
-            else:
-                entry.stored.set_exception(error)
-        if again:
-            self.waiting[:0] = again
-            self.writer.ask_first(self.stem, self._make)
-
-    def close(self) -> None:
-        for entry in self.waiting:
-            entry.stored.cancel()
-        self.waiting.clear()
-
-
-class Entry:
-    """What is to be stored among others, under conditions of its own."""
-
-    __slots__ = ("conditions", "size", "stored", "value")
-
-    def __init__(self, value: Any, conditions: dict[str, int]) -> None:
-        self.value = value
-        self.conditions = conditions
-        self.size = json_size(value)
-        self.stored: asyncio.Future[str] = asyncio.get_running_loop().create_future()
-        # Whoever does not wait for the result must not cause a warning.
-        self.stored.add_done_callback(lambda f: f.cancelled() or f.exception())
--- a/peathall/wire/body.py
+++ b/peathall/wire/body.py
@@ -7,7 +7,7 @@
 import cbor2
 import orjson
 
-from peathall import constants as c
+from peathall import constants
 from peathall.wire.http import Response
 
 
@@ -16,7 +16,7 @@
 
 
 def cbor_map(body: bytes) -> dict[str, Any]:
-    if not body or len(body) > c.MAX_BODY:
+    if not body or len(body) > constants.MAX_BODY:
         raise MalformedError("empty or too large")
     try:
         value = cbor2.loads(body)
--- a/peathall/wire/http.py
+++ b/peathall/wire/http.py
@@ -10,7 +10,7 @@
 
 import httptools
 
-from peathall import constants as c
+from peathall import constants
 
 log = logging.getLogger("peathall.http")
 
@@ -120,13 +120,13 @@
             # Requests are not pipelined; a caller that does it anyway is served
             # in order, within the size of one request.
             self.backlog.append(data)
-            if sum(map(len, self.backlog)) > c.MAX_BODY:
+            if sum(map(len, self.backlog)) > constants.MAX_BODY:
                 self.close()
             return
         if self.phase is ConnectionPhase.IDLE:
             self._enter(ConnectionPhase.READING)
         self.size += len(data)
-        if self.size > c.MAX_BODY + 16 * 1024:
+        if self.size > constants.MAX_BODY + 16 * 1024:
             self._refuse(400)
             return
         try:
@@ -164,7 +164,7 @@
         self.task = self.server.loop.create_task(self._serve(request, keep))
 
     async def _serve(self, request: Request, keep: bool) -> None:
-        if len(request.body) > c.MAX_BODY:
+        if len(request.body) > constants.MAX_BODY:
             response = Response(400, close=True)
         else:
             try:
@@ -218,7 +218,7 @@
     @property
     def crowded(self) -> bool:
         """Callers who can as well connect anew for every request should do so."""
-        return len(self.connections) > c.CROWDED * self.max_connections
+        return len(self.connections) > constants.CROWDED * self.max_connections
 
     def admit(self, connection: ServerConnection) -> None:
         self.connections[connection] = None
@@ -232,11 +232,11 @@
         now = self.loop.time()
         for connection in list(self.connections):
             age = now - connection.since
-            if (connection.phase is ConnectionPhase.IDLE and age > c.IDLE_CONNECTION_S) or (
-                connection.phase is ConnectionPhase.READING and age > c.SLOW_REQUEST_S
+            if (connection.phase is ConnectionPhase.IDLE and age > constants.IDLE_CONNECTION_S) or (
+                connection.phase is ConnectionPhase.READING and age > constants.SLOW_REQUEST_S
             ):
                 connection.close()
-        self._sweeper = self.loop.call_later(c.SWEEP_S, self._sweep)
+        self._sweeper = self.loop.call_later(constants.SWEEP_S, self._sweep)
 
     def close(self) -> None:
         if self._sweeper is not None:
@@ -335,7 +335,7 @@
         now = loop.time()
         while self.idle:
             connection = self.idle.pop()
-            if not connection.closed and now - connection.idle_since < c.POOL_IDLE_S:
+            if not connection.closed and now - connection.idle_since < constants.POOL_IDLE_S:
                 return connection
             connection.abort()
         try:
@@ -363,7 +363,7 @@
             f"{method} {path} HTTP/1.1\r\nHost: {self.addr}\r\n"
             f"Content-Type: {self.content_type}\r\nContent-Length: {len(body)}\r\n\r\n"
         )
-        connection = await self._connect(min(c.CONNECT_S, timeout))
+        connection = await self._connect(min(constants.CONNECT_S, timeout))
         if not self.may_send():
             # Whoever asked for it may have stood still since: it must not leave after that.
             connection.abort()
--- a/peathall/wire/names.py
+++ b/peathall/wire/names.py
@@ -18,7 +18,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
-from peathall import constants as c
+from peathall import constants
 from peathall.wire.body import MalformedError
 
 
@@ -235,7 +235,7 @@
     return f"{job}/{task}"
 
 
-@lru_cache(maxsize=c.KNOWN_TASK_REPORTS)
+@lru_cache(maxsize=constants.KNOWN_TASK_REPORTS)
 def task_report(item: WireTask) -> TaskReport:
     """Most of a report says what the one before said: that is not taken apart again."""
     job, task = task_from_wire(item.parcel)
--- a/peathall/wire/turns.py
+++ b/peathall/wire/turns.py
@@ -7,7 +7,7 @@
 from enum import IntEnum
 from itertools import cycle
 
-from peathall import constants as c
+from peathall import constants
 
 
 class Rank(IntEnum):
@@ -19,9 +19,9 @@
 
 
 LIMITS = {
-    Rank.CHECKIN: c.CHECKIN_TURN_S,
-    Rank.CHANGE: c.CHANGE_TURN_S,
-    Rank.QUERY: c.QUERY_TURN_S,
+    Rank.CHECKIN: constants.CHECKIN_TURN_S,
+    Rank.CHANGE: constants.CHANGE_TURN_S,
+    Rank.QUERY: constants.QUERY_TURN_S,
 }
 
 
--- a/peathall/workers/caches.py
+++ b/peathall/workers/caches.py
@@ -9,8 +9,8 @@
 from typing import Any
 from zlib import crc32
 
-from peathall import constants as c
-from peathall.books import Books
+from peathall import constants
+from peathall.cluster import ClusterState
 from peathall.store.client import Drop, Item, Put
 from peathall.store.writer import Change, Writer
 from peathall.wire.body import json_size
@@ -22,8 +22,8 @@
 class Caches:
     """Many machines share a record, so that new images everywhere cost few changes."""
 
-    def __init__(self, books: Books, writer: Writer) -> None:
-        self.books = books
+    def __init__(self, cluster: ClusterState, writer: Writer) -> None:
+        self.cluster = cluster
         self.writer = writer
         self.limit = writer.value_limit
         self.loaded: dict[str, list[tuple[str, float]]] = {}
@@ -43,7 +43,7 @@
 
     def changed(self, machine: Machine) -> None:
         """Written in its latest state when nothing that matters more waits for the store."""
-        key = f"{CACHE}{crc32(machine.name.encode()) % c.CACHE_RECORDS}"
+        key = f"{CACHE}{crc32(machine.name.encode()) % constants.CACHE_RECORDS}"
         self.members.setdefault(key, {})[machine.name] = None
         self.writer.offer(key, lambda: self._change(key))
 
@@ -60,11 +60,11 @@
         return Change({}, [Drop(key)]) if key in self.writer.versions else None
 
     def _known(self, name: str) -> list[Any]:
-        machine = self.books.machines.get(name)
+        machine = self.cluster.machines.get(name)
         seen = self.loaded.get(name) or (machine.images.items() if machine is not None else ())
         return [[image, round(size, 1)] for image, size in seen]
 
     def forget_unknown(self) -> None:
         """What was read of machines that are no more, after the cloud's list was read."""
-        for name in [n for n in self.loaded if n not in self.books.machines]:
+        for name in [n for n in self.loaded if n not in self.cluster.machines]:
             del self.loaded[name]
--- /dev/null
+++ b/peathall/workers/delivery.py
@@ -0,0 +1,102 @@
+"""Direct orders: what is due to a machine, sent without waiting for its next report."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from peathall import constants
+from peathall.store.budget import Budget
+from peathall.wire import body, names
+from peathall.wire.http import HttpClient, NoAnswerError
+from peathall.wire.names import Report
+from peathall.workers.model import Machine
+
+log = logging.getLogger("peathall.workers")
+
+
+class OrderSource(Protocol):
+    """Who knows what is due to a machine, and learns from its answer."""
+
+    def direct_message(self, machine: Machine) -> dict[str, Any] | None:
+        """The orders that are due now, or None."""
+
+    def direct_answer(self, machine: Machine, report: Report) -> None:
+        """The machine's report after them."""
+
+
+class DirectDelivery:
+    """Sends direct orders, one request at a time for each machine."""
+
+    def __init__(
+        self, source: OrderSource, may_act: Callable[[], bool], connections: int, rate: float
+    ) -> None:
+        self.source = source
+        self.may_act = may_act
+        self.loop = asyncio.get_running_loop()
+        self.connections = connections  # at most, at once
+        self.under_way: dict[str, asyncio.Task[None]] = {}  # by machine
+        self.deferrable = Budget(rate)  # of orders that might as well wait for a report
+        self._turn = asyncio.Semaphore(connections)
+        self._clients: OrderedDict[str, HttpClient] = OrderedDict()  # least lately used first
+
+    def push(self, machine: Machine, deferrable: bool = False) -> None:
+        """Send what is due straight to the worker.
+
+        What is deferrable goes out like this only while few such orders do: the more there is to
+        start, the more of it waits for the next check-in, which comes anyway and carries all.
+        """
+        if deferrable and self.deferrable.wait(1, self.loop.time()) > 0:
+            return
+        if machine.addr and machine.name not in self.under_way and self.may_act():
+            self.under_way[machine.name] = self.loop.create_task(self._deliver(machine))
+
+    async def _deliver(self, machine: Machine) -> None:
+        try:
+            await asyncio.sleep(0)  # whatever is decided in this turn goes out together
+            async with self._turn:
+                await self._deliver_now(machine)
+        except (NoAnswerError, body.MalformedError) as exc:
+            log.info("direct orders to %s: %s", machine.name, exc)
+        finally:
+            del self.under_way[machine.name]
+
+    async def _deliver_now(self, machine: Machine) -> None:
+        message = self.source.direct_message(machine)
+        if message is None or not self.may_act():
+            return
+        status, raw = await self._client(machine.addr).request(
+            "POST", "/commands", body.cbor_bytes(message), constants.DIRECT_TIMEOUT_S
+        )
+        if status != 200:
+            log.info("direct orders to %s refused: %d", machine.name, status)
+        elif self.may_act():
+            self.source.direct_answer(machine, names.report_from_wire(body.cbor_map(raw)))
+
+    def _client(self, addr: str) -> HttpClient:
+        """A connection to a worker; of the unused ones the oldest are closed, so that
+        hundreds of machines do not use up the sockets."""
+        client = self._clients.get(addr)
+        if client is None:
+            client = self._clients[addr] = HttpClient(addr, keep=1, may_send=self.may_act)
+        self._clients.move_to_end(addr)
+        unused = [a for a, other in self._clients.items() if not other.busy and other is not client]
+        for other in unused[: max(0, len(self._clients) - self.connections)]:
+            self._clients.pop(other).close()
+        return client
+
+    def forget(self, machine: Machine) -> None:
+        """The machine is gone."""
+        client = self._clients.pop(machine.addr, None)
+        if client is not None:
+            client.close()
+
+    def close(self) -> None:
+        """Give up what is under way."""
+        for task in self.under_way.values():
+            task.cancel()
+        for client in self._clients.values():
+            client.close()
--- a/peathall/workers/blame.py
+++ b/peathall/workers/faults.py
@@ -8,21 +8,21 @@
 
 from collections.abc import Callable
 
-from peathall import constants as c
-from peathall.books import Books
+from peathall import constants
+from peathall.cluster import ClusterState
 from peathall.jobs.model import Attempt, Job, Trust
 from peathall.workers.model import Machine
 
 
-class Blame:
-    def __init__(self, books: Books) -> None:
-        self.books = books
+class FaultTracker:
+    def __init__(self, cluster: ClusterState) -> None:
+        self.cluster = cluster
         self.on_suspects: Callable[[], None] = lambda: None  # one more, or one less
         self.watched: dict[str, Job] = {}  # jobs that failed and have not gone well since
 
     def failed(self, attempt: Attempt, ran_s: float, now: float) -> list[Machine]:
         """A task failed after running for so long. Returns the machines that are sick."""
-        job, machine = attempt.job, self.books.machines[attempt.machine]
+        job, machine = attempt.job, self.cluster.machines[attempt.machine]
         job.failed_on.pop(machine.name, None)
         job.failed_on[machine.name] = now
         job.fails_after = max(job.fails_after, ran_s)
@@ -30,23 +30,23 @@
         if attempt.number != job.struck:
             job.struck = attempt.number  # tasks that were started together fail together
             job.strikes += 1
-        limit = {Trust.PROVEN: c.REVOKE_MACHINES, Trust.UNKNOWN: c.SUSPECT_MACHINES}
+        limit = {Trust.PROVEN: constants.REVOKE_MACHINES, Trust.UNKNOWN: constants.SUSPECT_MACHINES}
         if len(job.failed_on) >= limit.get(job.trust, 1):
             if job.trust is not Trust.SUSPECT:
                 self.suspect(job, 1)
                 self.on_suspects()
             # Not one machine is to blame for what fails on several.
             for name in job.failed_on:
-                other = self.books.machines.get(name)
+                other = self.cluster.machines.get(name)
                 if other is not None:
                     other.failed_jobs.discard(job.spec.id)
-            pause = c.ERROR_BACKOFF_S * 2 ** min(job.strikes - 1, 10)
-            job.backoff_until = now + min(c.ERROR_BACKOFF_MAX_S, pause)
+            pause = constants.ERROR_BACKOFF_S * 2 ** min(job.strikes - 1, 10)
+            job.backoff_until = now + min(constants.ERROR_BACKOFF_MAX_S, pause)
             return []
         machine.failed_jobs.add(job.spec.id)
         if self._proves_itself(machine, job.failed_on[machine.name]):
             return []
-        sick = job.trust is Trust.PROVEN or len(machine.failed_jobs) >= c.SICK_JOBS
+        sick = job.trust is Trust.PROVEN or len(machine.failed_jobs) >= constants.SICK_JOBS
         return [machine] if sick else []
 
     def suspect(self, job: Job, strikes: int) -> None:
@@ -70,10 +70,10 @@
             self.on_suspects()
         job.strikes = 0
         job.backoff_until = 0.0
-        failed = [(self.books.machines.get(name), at) for name, at in job.failed_on.items()]
+        failed = [(self.cluster.machines.get(name), at) for name, at in job.failed_on.items()]
         sick = [m for m, at in failed if m is not None and not self._proves_itself(m, at)]
         # Many at once are no single sick machines: whatever it was, it is over.
-        return sick if len(sick) < c.REVOKE_MACHINES else []
+        return sick if len(sick) < constants.REVOKE_MACHINES else []
 
     def _proves_itself(self, machine: Machine, failed_at: float) -> bool:
         """Whether anything has gone well on the machine since then."""
@@ -83,10 +83,10 @@
         """Now and then: what has run for longer than its failures took goes well."""
         sick: list[Machine] = []
         for job in list(self.watched.values()):
-            if self.books.jobs.get(job.spec.id) is not job:
+            if self.cluster.jobs.get(job.spec.id) is not job:
                 del self.watched[job.spec.id]
                 continue
-            enough = max(c.PROOF_S, 2 * job.fails_after)
+            enough = max(constants.PROOF_S, 2 * job.fails_after)
             for attempt in job.attempts.values():
                 if attempt.running and now - attempt.since > enough:
                     sick += self._proven(job)
@@ -97,7 +97,7 @@
         """Machines on which the job failed and nothing has gone well since, the latest few."""
         found = []
         for name, at in job.failed_on.items():
-            machine = self.books.machines.get(name)
+            machine = self.cluster.machines.get(name)
             if machine is not None and not self._proves_itself(machine, at):
                 found.append(name)
-        return found[-c.AVOID_MACHINES :]
+        return found[-constants.AVOID_MACHINES :]
--- /dev/null
+++ b/peathall/workers/health.py
@@ -0,0 +1,86 @@
+"""Which machines are silent, and whose fault that is: theirs, the network's or our own."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from peathall import constants
+from peathall.cluster import ClusterState
+from peathall.settings import WorkerSettings
+from peathall.workers.model import Machine, MachinePhase
+
+log = logging.getLogger("peathall.workers")
+
+# Machine -> session and sequence number of its latest report to another controller.
+ReportsElsewhere = Callable[[], dict[str, tuple[int, int]]]
+
+
+class MachineHealth:
+    """Judges machines by the age of their reports, and by what other controllers hear of them."""
+
+    def __init__(
+        self,
+        cluster: ClusterState,
+        settings: WorkerSettings,
+        now: float,
+        elsewhere: ReportsElsewhere = dict,
+    ) -> None:
+        self.cluster = cluster
+        self.settings = settings
+        self.elsewhere = elsewhere
+        self.last_tick = self.active_since = now  # see note_tick()
+
+    def silence(self, machine: Machine, now: float) -> float:
+        """Seconds since its last report."""
+        return now - machine.last_heard
+
+    def note_tick(self, now: float) -> None:
+        """Called every second while we may act. A gap means that we stood still, or that our
+        lease did: the reports of that time went unanswered, which is no machine's fault."""
+        if now - self.last_tick > constants.STALL_S:
+            log.info("did not attend to the machines for %.1f s", now - self.last_tick)
+            self.active_since = now
+        self.last_tick = now
+
+    def silent_to_us_s(self, machine: Machine, now: float) -> float:
+        """Seconds for which the machine could have reported to us, and has not."""
+        return now - max(machine.last_heard, self.active_since)
+
+    def suspect_s(self) -> float:
+        """So long after a machine's last report it takes no new work."""
+        return min(
+            constants.SUSPECT_REPORTS * self.settings.report_s,
+            constants.SUSPECT_LEASE * self.settings.lease_s,
+        )
+
+    def lost_s(self) -> float:
+        """So long after it, deleting the machine frees its tasks well before its lease does."""
+        return min(
+            constants.LOST_REPORTS * self.settings.report_s,
+            constants.LOST_LEASE * self.settings.lease_s,
+        )
+
+    def unreached_s(self) -> float:
+        """Two missed reports: by then every machine would have been heard."""
+        return 2 * self.settings.report_s + constants.TICK_S
+
+    def reporting_elsewhere(self) -> Callable[[Machine], bool]:
+        """Tells of a machine whether it has lately sent another controller a report newer
+        than all we had. A late copy of an old report is no sign of life."""
+        elsewhere = self.elsewhere()
+        return lambda machine: elsewhere.get(machine.name, (0, -1)) > machine.checked
+
+    def expected(self) -> list[Machine]:
+        """Machines that should report to us, known from reports or only from records."""
+        phases = (MachinePhase.UP, MachinePhase.UNHEARD)
+        return [m for m in self.cluster.machines.values() if m.phase in phases]
+
+    def out_of_reach(self, now: float) -> bool:
+        """Most machines are alive, but don't hear us or are not heard: our own trouble."""
+        self.note_tick(now)
+        up, limit = self.expected(), self.unreached_s()
+        lost = [m for m in up if m.deaf_since is not None or self.silent_to_us_s(m, now) > limit]
+        return len(lost) > constants.OUT_OF_REACH_SHARE * len(up) and any(
+            map(self.reporting_elsewhere(), lost)
+        )
--- a/peathall/workers/suspects.py
+++ b/peathall/workers/suspects.py
@@ -5,31 +5,31 @@
 
 from __future__ import annotations
 
-from peathall import constants as c
-from peathall.books import Books
+from peathall import constants
+from peathall.cluster import ClusterState
 from peathall.jobs.model import Trust
 from peathall.store.client import Item, Put
 from peathall.store.writer import Change, Writer
-from peathall.workers.blame import Blame
+from peathall.workers.faults import FaultTracker
 
 SUSPECTS = "suspects"
 
 
 class Suspects:
-    def __init__(self, books: Books, blame: Blame, writer: Writer) -> None:
-        self.books = books
-        self.blame = blame
+    def __init__(self, cluster: ClusterState, faults: FaultTracker, writer: Writer) -> None:
+        self.cluster = cluster
+        self.faults = faults
         self.writer = writer
-        blame.on_suspects = self.changed
+        faults.on_suspects = self.changed
 
     def load(self, item: Item | None) -> None:
         if item is None:
             return
         self.writer.versions[SUSPECTS] = item.version
         for job_id, strikes in item.value["jobs"]:
-            job = self.books.jobs.get(job_id)
+            job = self.cluster.jobs.get(job_id)
             if job is not None and not job.done:
-                self.blame.suspect(job, strikes)
+                self.faults.suspect(job, strikes)
 
     def changed(self) -> None:
         """Written when nothing that matters more waits; as seldom as the set changes."""
@@ -38,8 +38,8 @@
     def _change(self) -> Change:
         found = [
             [job.spec.id, job.strikes]
-            for job in self.blame.watched.values()
-            if job.trust is Trust.SUSPECT and self.books.jobs.get(job.spec.id) is job
+            for job in self.faults.watched.values()
+            if job.trust is Trust.SUSPECT and self.cluster.jobs.get(job.spec.id) is job
         ]
-        most = min(c.SUSPECTS_KEPT, self.writer.value_limit // c.SUSPECT_BYTES)
+        most = min(constants.SUSPECTS_KEPT, self.writer.value_limit // constants.SUSPECT_BYTES)
         return Change({}, [Put(SUSPECTS, {"jobs": found[-most:]})])
