--- a/tests/sim/test_services.py
+++ b/tests/sim/test_services.py
@@ -99,3 +99,47 @@
 
         loop.run_until_complete(play())
         assert world.broken == []
+
+
+BAD_SERVICES = [
+    ({"reckon_s": "soon"}, 400),
+    ({"parcels": 0}, 400),
+    ({"scatter": None}, 400),
+    ({"kit": ""}, 400),
+    ({"vcpus": -1.0}, 400),
+    ({"desk": "nobody's"}, 422),
+    ({"desk": "blue", "parcels": 41, "vcpus": 0.5}, 422),  # 20.5 CPUs of 20, all together
+    ({"desk": "red", "parcels": 13, "cards": 1.0}, 422),  # 13 GPUs of 12
+    ({"vcpus": 17.0}, 422),  # fits no machine
+    ({"parcels": 2, "scatter": True, "together": True}, 422),
+    ({"reckon_s": 0.0}, 201),
+]
+
+
+def test_what_users_may_get_wrong_about_a_service() -> None:
+    """Each answer at once; a job that is known gets 200 whatever its repetition carries."""
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual(75) as loop:
+        world = World(loop, 75, [node_settings(i) for i in range(3)])
+
+        async def play() -> None:
+            await world.begin()
+            await asyncio.sleep(10.0)
+            plain = daemon(random.Random(7), 1) | {"parcels": 3, "scatter": False}
+            wire = {key: value for key, value in plain.items() if key != "run_s"}
+            for number, (change, expected) in enumerate(BAD_SERVICES, 900):
+                job_id = f"j-{number:06d}"
+                world.jobs[job_id] = plain | {"id": job_id}
+                status, _ = await world.ask("POST", "/work", wire | change | {"id": job_id})
+                assert status == expected, change
+                known, _ = await world.ask("GET", f"/work/{job_id}")
+                assert known == (200 if expected == 201 else 404)
+                if expected != 201:
+                    continue
+                for again, _ in BAD_SERVICES:
+                    status, answer = await world.ask("POST", "/work", wire | again | {"id": job_id})
+                    assert status == 200, again
+                    assert answer["standing"] in ("queued", "running")
+
+        context = world.context(Host("10.9.0.1"))
+        loop.run_until_complete(loop.create_task(play(), context=context))
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -65,6 +65,10 @@
         ('state = "127.0.0.1:2"', 'state = "nowhere"', "state"),
         ('member = "hall-1"', 'member = "hall-0"', "member"),
         ("[services]", "[services", "TOML"),
+        ("txn_ops = 16\n", "txn_ops = 16\n[params.state.next]\nvalue_kb = -1\n", "value_kb"),
+        ("txn_ops = 16\n", "txn_ops = 16\n[params.state.next]\ntxn_ops = 3\n", "txn_ops"),
+        ("txn_ops = 16\n", 'txn_ops = 16\n[params.state.next]\nwrite_rps = "few"\n', "write_rps"),
+        ("txn_ops = 16\n", "txn_ops = 16\nnext = 2\n", "next"),
     ],
 )
 def test_wrong_settings_end_the_start_with_one_line(
