--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -36,6 +36,10 @@
 # new state no more changes than a busy store has to spare
 WATCH_HOLD_S = 6.0  # s; a watch behind a silent cut is noticed after this plus the timeout
 VALUE_FILL = 0.85  # of value_kb is used, since the limit counts another encoding than we measure
+CHANGES_AT_ONCE_MIN = 3  # changes of the largest indivisible transaction: a job's final state, the
+# record without it, and the record in which another controller accepted it
+RATE_REFUSALS = 8  # of one transaction, STORE_RETRY_S apart: a burst is saved up in a second, so
+# one that is refused for longer has more changes than the service's rate allows at all
 TXN_CONDITIONS = 4  # times txn_ops: conditions of one transaction (protocol)
 TXN_BYTES = 48 * 1024  # bytes of one transaction, kept clear of the 64 KiB limit
 
--- a/peathall/jobs/archive.py
+++ b/peathall/jobs/archive.py
@@ -29,14 +29,14 @@
     def __init__(
         self,
         cluster: ClusterState,
-        txn_ops: int,
+        changes_at_once: int,
         store: StateClient,
         writer: Writer,
         new_jobs: SharedRecordWriter,
         background: BackgroundTasks,
     ) -> None:
         self.cluster = cluster
-        self.txn_ops = txn_ops
+        self.changes_at_once = changes_at_once
         self.store = store
         self.writer = writer
         self.new_jobs = new_jobs
@@ -138,7 +138,7 @@
             return None  # looked after again once that is done
         here = [self.cluster.jobs[job_id] for job_id in self.jobs_by_record.get(record_key, ())]
         over: list[Job] = []
-        ops_left = self.txn_ops - 1  # one is for the record itself
+        ops_left = self.changes_at_once - 1  # one is for the record itself
         for job in filter(self.can_go, here):
             duplicate = records.JOB + job.spec.id
             ops_left -= 1 + (duplicate in self.writer.versions and duplicate != record_key)
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -88,7 +88,7 @@
         self.revision = 0  # up to which jobs accepted elsewhere are known
         self.background = BackgroundTasks()
         self.archive = JobArchive(
-            cluster, params.state.txn_ops, store, writer, self.new_jobs, self.background
+            cluster, params.state.changes_at_once, store, writer, self.new_jobs, self.background
         )
 
     # --- records -------------------------------------------------------------
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -124,8 +124,9 @@
 
     def _move(self, move: Move, now: float) -> None:
         """Its next place is booked: the replica may stop."""
-        attempt = self.cluster.jobs[move.job].attempts.get(move.task)
-        if attempt is None or attempt.leaving:
+        job = self.cluster.jobs.get(move.job)
+        attempt = job.attempts.get(move.task) if job is not None else None
+        if attempt is None or attempt.leaving:  # it ended while the round was decided
             return
         spec = attempt.job.spec
         log.info("replica %s/%d moves to %s", move.job, move.task, move.machine)
--- a/peathall/settings.py
+++ b/peathall/settings.py
@@ -90,6 +90,12 @@
     txn_ops: Annotated[int, Meta(ge=4)]
     next: NextLimits | None = None
 
+    @property
+    def changes_at_once(self) -> int:
+        """Puts and drops in one transaction: the service takes no more of them, and refuses for
+        ever what is more than a burst, which is worth one second."""
+        return max(constants.CHANGES_AT_ONCE_MIN, min(self.txn_ops, int(self.write_rps)))
+
     def least(self) -> StateSettings:
         """What holds now and will hold later: the moment of the change is not told."""
         if self.next is None:
@@ -174,6 +180,11 @@
             f" the longest that a machine cut off keeps its tasks (lease_s {workers.lease_s:g})"
         )
     state = settings.params.state.least()
+    if state.write_rps < constants.CHANGES_AT_ONCE_MIN:
+        raise SettingsError(
+            f"params.state.write_rps: {state.write_rps:g} must be at least"
+            f" {constants.CHANGES_AT_ONCE_MIN}, what the largest indivisible transaction changes"
+        )
     params = msgspec.structs.replace(settings.params, state=state)
     return msgspec.structs.replace(settings, params=params)
 
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -28,6 +28,10 @@
     """The service will never carry it out as it is: too large, perhaps."""
 
 
+class RateLimitError(StoreError):
+    """Refused for its rate: not carried out, and nothing is wrong with it but its time or size."""
+
+
 class ConflictError(Exception):
     """A condition did not hold; `failed` names the keys."""
 
@@ -169,8 +173,11 @@
         except NoAnswerError as exc:
             self.failing = True
             raise (StoreDoubtError if exc.sent else StoreError)(str(exc)) from None
-        if status in (429, 503):
-            self.failing = status == 503
+        if status == 429:
+            self.failing = False
+            raise RateLimitError(f"state service: {status}")
+        if status == 503:
+            self.failing = True
             raise StoreError(f"state service: {status}")
         self.last_good = self.loop.time()
         self.failing = False
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -27,6 +27,7 @@
     InvalidError,
     LeaseGoneError,
     Put,
+    RateLimitError,
     StateClient,
     StoreDoubtError,
     StoreError,
@@ -74,8 +75,9 @@
 class Batch:
     """Changes that fit into one transaction: its limits, and no key touched twice."""
 
-    def __init__(self, most_ops: int) -> None:
-        self.most_ops = most_ops
+    def __init__(self, limits: StateSettings) -> None:
+        self.most_ops = limits.changes_at_once
+        self.most_checks = constants.TXN_CONDITIONS * limits.txn_ops
         self.changes: list[Change] = []
         self.ops = 0
         self._size = 0
@@ -98,7 +100,7 @@
         return (
             self.ops + len(change.ops) <= self.most_ops
             and self._size + change.size <= constants.TXN_BYTES
-            and self._checks + len(touched) < constants.TXN_CONDITIONS * self.most_ops
+            and self._checks + len(touched) < self.most_checks
             and not touched & self._keys
         )
 
@@ -112,6 +114,7 @@
     conditions: dict[str, int]  # key -> version
     doubt: bool = False  # a try got no answer: it may have been, or may yet be, carried out
     refused: bool = False
+    rate_refusals: int = 0
 
     def note_refusal(self, error: Exception) -> None:
         """It is repeated, which is logged once."""
@@ -119,6 +122,12 @@
             log.info("commit refused, repeating it: %s", error)
         self.refused = True
 
+    @property
+    def too_many_changes(self) -> bool:
+        """Whether it has been refused for its rate for so long that it can only be its size."""
+        divisible = len(self.batch) > 1 or len(self.ops) > constants.CHANGES_AT_ONCE_MIN
+        return divisible and self.rate_refusals >= constants.RATE_REFUSALS
+
 
 class WriterPhase(Enum):
     """What the one transaction in flight is doing."""
@@ -217,7 +226,7 @@
 
     def _take(self) -> list[Change]:
         """The oldest changes that fit into one transaction and touch no key twice."""
-        batch = Batch(self.limits.txn_ops)
+        batch = Batch(self.limits)
         self._take_first(batch)
         taken = 0
         for change in self.queue:
@@ -240,7 +249,7 @@
         left = self.store.spare_writes() - batch.ops
         due = self._due() if left < 1 else None
         for name in list(self.spare) if due is None else [due]:
-            if batch.ops >= self.limits.txn_ops or (left < 1 and due is None):
+            if batch.ops >= batch.most_ops or (left < 1 and due is None):
                 return
             self.must.pop(name, None)
             offered = self.spare.pop(name)()
@@ -322,7 +331,13 @@
         """The revision at which it is carried out, by now or by an earlier try."""
         ops, conditions = transaction.ops, transaction.conditions
         revision = await self._tried(ops, conditions) if transaction.doubt else 0
-        return revision or await self.store.commit(conditions, ops)
+        try:
+            return revision or await self.store.commit(conditions, ops)
+        except RateLimitError as exc:
+            transaction.rate_refusals += 1
+            if transaction.too_many_changes:
+                raise InvalidError(f"more changes than its rate allows at all: {exc}") from None
+            raise
 
     async def _give_up_invalid(self, transaction: Transaction, error: InvalidError) -> bool:
         """Larger than is allowed, or more at once: repeating it would hold up all others for
--- a/tests/sim/test_limits_fall.py
+++ b/tests/sim/test_limits_fall.py
@@ -14,7 +14,7 @@
 import pytest
 
 from peathall import settings
-from tests.sim.sites import node_settings, node_text_with_next_limits
+from tests.sim.sites import node_settings, node_text, node_text_with_next_limits
 from tests.sim.test_combined_failures import FaultInjector, daemon, longer, watch
 from tests.sim.test_days import draw_job, virtual
 from tests.sim.world import World
@@ -198,6 +198,37 @@
     assert any("limits" in broken for outcome in outcomes for broken in outcome.broken)
 
 
+def test_fewer_changes_a_second_than_a_transaction_may_have() -> None:
+    """A site whose rate allows three changes a second and whose transactions may have twelve:
+    none of more than three is ever sent, and all work ends."""
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual(SEED) as loop:
+        texts = [node_text(i).replace("write_rps = 60.0", "write_rps = 3.0") for i in range(3)]
+        world = World(loop, SEED, [settings.parse(text) for text in texts])
+        world.state.slow = 0.3  # so that much is written together
+        largest: list[int] = []
+
+        def on_commit(raw: dict[str, Any]) -> bool:
+            largest.append(len(raw["apply"]))
+            return False
+
+        world.state.on_commit = on_commit
+
+        async def day() -> None:
+            await world.begin()
+            waiting = [
+                world.submit(longer(draw_job(world.rng, n), world.rng), f"10.9.0.{n}", None, 8.0)
+                for n in range(1, 2 * BURST)
+            ]
+            await asyncio.sleep(200.0)
+            assert all(task.done() for task in waiting)
+
+        loop.run_until_complete(day())
+        assert world.broken == []
+        assert max(largest) == 3
+        assert world.state.refused == 0
+
+
 def test_the_lower_rate_is_kept_to(unbroken: Outcome) -> None:
     """At a rate that bites nothing is refused. Ignored, requests are refused again and again, or
     the day does not end: transactions of more changes than a second is worth never go through."""
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -140,3 +140,34 @@
         assert list(placement.bookings) == []
 
     asyncio.run(run())
+
+
+def test_a_job_that_ends_while_its_move_is_decided_is_left_alone() -> None:
+    """A round gives others their turn: a job cancelled and archived meanwhile ended the term."""
+
+    async def run() -> None:
+        now = asyncio.get_running_loop().time()
+        workers = new_workers(now)
+        cluster = workers.cluster
+        placement = new_placement(workers, SimpleNamespace(versions={}))
+        job = cluster.jobs["j-1"] = Job(spec(daemon=True), now)
+        for name in ("m-1", "m-2"):
+            machine = cluster.machine(name, "g", "a", False, MachinePhase.UP, now)
+            machine.confirmed, machine.last_heard = True, now
+        replica = cluster.book(job, 0, 7, cluster.machines["m-1"], "round/1")
+        replica.enter(AttemptPhase.RUNNING, now)
+        workers.drain(cluster.machines["m-1"], "it fails tasks")
+        decide = placement.decide
+
+        async def decide_and_lose_the_job(at: float) -> Plan:
+            plan = await decide(at)
+            assert [move.job for move in plan.moves] == ["j-1"]
+            cluster.release(replica, at)
+            del cluster.jobs["j-1"]
+            return plan
+
+        placement.decide = decide_and_lose_the_job  # type: ignore[method-assign]
+        await placement.round(now)
+        assert list(placement.bookings) == []
+
+    asyncio.run(run())
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -69,6 +69,8 @@
         ("txn_ops = 16\n", "txn_ops = 16\n[params.state.next]\ntxn_ops = 3\n", "txn_ops"),
         ("txn_ops = 16\n", 'txn_ops = 16\n[params.state.next]\nwrite_rps = "few"\n', "write_rps"),
         ("txn_ops = 16\n", "txn_ops = 16\nnext = 2\n", "next"),
+        ("write_rps = 50.0", "write_rps = 2.5", "write_rps"),
+        ("txn_ops = 16\n", "txn_ops = 16\n[params.state.next]\nwrite_rps = 2\n", "write_rps"),
     ],
 )
 def test_wrong_settings_end_the_start_with_one_line(
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -20,6 +20,7 @@
     InvalidError,
     Item,
     Put,
+    RateLimitError,
     StateClient,
     StoreDoubtError,
 )
@@ -102,7 +103,8 @@
         writer = Writer(client, LIMITS, lead(), lambda: True, lambda: None)
         futures = [writer.submit([put]) for put in puts]
         task = asyncio.create_task(writer.run())
-        results = await asyncio.gather(*futures, return_exceptions=True)
+        async with asyncio.timeout(10.0):
+            results = await asyncio.gather(*futures, return_exceptions=True)
         writer.stop()
         await task
         return list(results)
@@ -416,3 +418,27 @@
             await shared.add({}, {})
 
     asyncio.run(run())
+
+
+class ScarceStore(FakeStore):
+    """Refuses transactions of more changes than a second is worth, as often as they come."""
+
+    allowed = 5
+
+    async def commit(self, conditions: dict[str, int], ops: list[Any]) -> int:
+        if len(ops) > self.allowed:
+            raise RateLimitError("state service: 429")
+        return await super().commit(conditions, ops)
+
+
+@pytest.mark.parametrize("told_rate", [50.0, float(ScarceStore.allowed)])
+def test_no_transaction_is_refused_for_ever_for_its_number_of_changes(
+    told_rate: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """One of twelve changes at five a second was repeated without end. Where the settings tell
+    of the rate it is never made; where the rate fell untold, it is divided."""
+    monkeypatch.setattr("tests.unit.test_store.LIMITS", StateSettings(100.0, told_rate, 8.0, 12))
+    store = ScarceStore()
+    revisions = play(store, [Put(f"k-{number:02d}", number) for number in range(12)])
+    assert all(isinstance(revision, int) for revision in revisions)
+    assert len(store.data) == 1 + 12
