--- a/peathall/fleet/client.py
+++ b/peathall/fleet/client.py
@@ -13,7 +13,7 @@
 from peathall.store.budget import Budget
 from peathall.wire import body, names
 from peathall.wire.http import HttpClient, NoAnswerError
-from peathall.wire.names import ListedMachine
+from peathall.wire.names import ListedMachine, MachineType
 
 
 class CloudError(Exception):
@@ -53,9 +53,10 @@
             raise CloudError(f"cloud: {status}", False)
         return answer
 
-    async def types(self) -> list[dict[str, Any]]:
-        """All machine types, as the cloud describes them."""
-        return list((await self._ask("GET", "/machine_types"))["builds"])
+    async def types(self) -> list[MachineType]:
+        """All machine types, with their prices as they are now."""
+        answer = await self._ask("GET", "/machine_types")
+        return [names.machine_type_from_wire(x) for x in answer["builds"]]
 
     async def machines(self) -> list[ListedMachine]:
         """The whole machine list, page by page."""
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -16,12 +16,12 @@
 from peathall.fleet.planner import Bin, Offer, all_offers, offer_of, plan_rentals
 from peathall.fleet.returns import Returns, Shortage
 from peathall.jobs.model import JobPhase
-from peathall.placement.views import JobView
+from peathall.placement.views import JobView, Plan
 from peathall.settings import Params
 from peathall.store.client import Put
 from peathall.store.writer import Writer
 from peathall.wire import body, names
-from peathall.wire.names import ListedMachine
+from peathall.wire.names import ListedMachine, MachineType
 from peathall.workers.model import Machine, MachinePhase
 from peathall.workers.service import Workers
 
@@ -66,14 +66,15 @@
         self.listed_once = False
         self.list_at = -1e9
         self.types_at = -1e9
-        self.raw_types: list[dict[str, Any]] = []
 
     # --- machine types -------------------------------------------------------
-    def set_types(self, raw: list[dict[str, Any]]) -> None:
+    def load_types(self, value: Any) -> None:
+        """After a take-over: the types as they were last stored."""
+        self.set_types([names.machine_type_from_wire(x) for x in value["builds"]])
+
+    def set_types(self, types: list[MachineType]) -> None:
         """The machine types as the cloud, or the record of them, describes them."""
-        types = [names.machine_type_from_wire(x) for x in raw]
         self.cluster.types = {t.name: t for t in types}
-        self.raw_types = raw
         for machine in self.cluster.machines.values():
             size = self.cluster.types.get(machine.type)
             if size is not None and not machine.cpus:
@@ -81,21 +82,24 @@
 
     async def _refresh_types(self, now: float) -> None:
         self.types_at = now
-        raw = await self.cloud.types()
+        types = await self.cloud.types()
         known = bool(self.cluster.types)
-        if raw != self.raw_types:
-            self.set_types(raw)
+        if {t.name: t for t in types} != self.cluster.types:
+            self.set_types(types)
             # Kept in the store, so that a leader that starts during an outage of
             # the cloud can still judge jobs and place them.
-            if body.json_size(raw) < self.writer.value_limit:
-                self.writer.submit([Put(TYPES, {"builds": raw})])
+            value = {"builds": [names.machine_type_to_wire(t) for t in types]}
+            if body.json_size(value) < self.writer.value_limit:
+                self.writer.submit([Put(TYPES, value)])
         if not known:
             self.on_change()
 
     # --- loop ----------------------------------------------------------------
-    def request_plan(self) -> None:
-        """Something lacks room: plan rentals soon."""
-        self.wake.set()
+    def note_unplaced(self, plan: Plan) -> None:
+        """What a round found no room for, and the room that it left: plan rentals soon."""
+        self.unplaced, self.spare_room = plan.unplaced, plan.spare_room
+        if self.unplaced:
+            self.wake.set()
 
     async def run(self) -> None:
         """Looking, returning and renting go on side by side and share the cloud's calls: a
--- a/peathall/jobs/archive.py
+++ b/peathall/jobs/archive.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from typing import Any
 
 from peathall import constants
 from peathall.cluster import ClusterState
@@ -23,6 +24,11 @@
 log = logging.getLogger("peathall.jobs")
 
 
+def final_value(job: Job) -> Any:
+    """What is stored of a job that is over."""
+    return records.to_value(records.FinalRecord(job.standing, len(job.done)))
+
+
 class JobArchive:
     """Records of live jobs, and their way to the records of jobs that are over."""
 
@@ -151,10 +157,7 @@
         if rest and json_size({"jobs": rest}) > self.writer.value_limit:
             self._divide(record_key, here)
             return None  # looked after again once what is left of the record fits
-        ops: list[Put | Drop] = [
-            Put(records.PAST + job.spec.id, records.final_record(job.standing, len(job.done)))
-            for job in over
-        ]
+        ops: list[Put | Drop] = [Put(records.PAST + job.spec.id, final_value(job)) for job in over]
         ops.append(Put(record_key, {"jobs": rest}) if rest else Drop(record_key))
         # Another controller may have accepted it as well: that record would bring the job back
         # to life after it has been archived. One that we don't know of fails the change.
--- a/peathall/jobs/fallback.py
+++ b/peathall/jobs/fallback.py
@@ -51,12 +51,12 @@
         if job_id in self.live.held:
             end = self.live.ends.get(job_id)
             if end is not None:
-                return self._learn(job_id, final(job_id, *end))
+                return self._learn(job_id, final(job_id, end))
             return 200, names.job_status(job_id, Standing.QUEUED)
         past = await self.store.get(records.PAST + job_id)
         if past is None:
             return None
-        return self._learn(job_id, final(job_id, past.value["standing"], past.value.get("done")))
+        return self._learn(job_id, final(job_id, records.read_final(past.value)))
 
     async def accept(self, spec: JobSpec) -> Answer:
         """Create the job in the store, if it is not known there."""
@@ -80,6 +80,6 @@
         return await self._known(spec.id) or NOT_NOW
 
 
-def final(job_id: str, standing: str, done: int | None) -> Answer:
+def final(job_id: str, end: records.FinalRecord) -> Answer:
     """The answer for a job that is over."""
-    return 200, names.job_status(job_id, Standing(standing), done or 0)
+    return 200, names.job_status(job_id, end.standing, end.done)
--- a/peathall/jobs/live.py
+++ b/peathall/jobs/live.py
@@ -20,7 +20,7 @@
         self.revision: int | None = None  # up to which the rest is known; None: read it all
         self.jobs: dict[str, list[str]] = {}  # key -> jobs in that record
         self.held: dict[str, int] = {}  # job -> number of records that hold it
-        self.ends: dict[str, tuple[str, int]] = {}  # job -> final state, tasks done
+        self.ends: dict[str, records.FinalRecord] = {}  # by job
         self.ended: dict[str, list[str]] = {}  # key -> jobs whose final state is in it
         self.reading = SharedRead(self._read)
 
@@ -68,6 +68,7 @@
         for job_id in self.ended.pop(key, ()):
             self.ends.pop(job_id, None)
         if value is not None:
-            self.ended[key] = [entry[0] for entry in value["ends"]]
-            for job_id, standing, done in value["ends"]:
-                self.ends[job_id] = (standing, done)
+            ends = records.read_ends(value)
+            self.ended[key] = [entry.job for entry in ends]
+            for entry in ends:
+                self.ends[entry.job] = records.FinalRecord(entry.standing, entry.done)
--- a/peathall/jobs/records.py
+++ b/peathall/jobs/records.py
@@ -16,6 +16,9 @@
 
 from typing import Any
 
+import msgspec
+from msgspec import Struct
+
 from peathall import constants
 from peathall.jobs.ranges import Ranges
 from peathall.wire.names import Standing
@@ -42,13 +45,48 @@
     return f"{DONE}{job_id}/{size}x{block}"
 
 
-def done_record(done: Ranges, block: int, size: int) -> dict[str, Any]:
-    """The value of one block."""
+class DoneRecord(Struct, frozen=True):
+    """Done tasks of one block, as ranges."""
+
+    done: list[list[int]]
+
+
+class FinalRecord(Struct, frozen=True):
+    """How an archived job ended."""
+
+    standing: Standing
+    done: int = 0
+
+
+class EndEntry(Struct, array_like=True, frozen=True):
+    """A job's final state among others; stored as a list, by position."""
+
+    job: str
+    standing: Standing
+    done: int
+
+
+def to_value(record: Struct) -> Any:
+    """The value under which a record, or an entry of one, is stored."""
+    return msgspec.to_builtins(record)
+
+
+def done_record(done: Ranges, block: int, size: int) -> DoneRecord:
+    """The record of one block."""
     low, high = block * size, (block + 1) * size
-    spans = [[max(a, low), min(b, high)] for a, b in done.spans if b > low and a < high]
-    return {"done": spans}
+    return DoneRecord([[max(a, low), min(b, high)] for a, b in done.spans if b > low and a < high])
+
+
+def read_done(value: Any) -> DoneRecord:
+    """The record of a block, as it is stored."""
+    return msgspec.convert(value, DoneRecord)
+
+
+def read_final(value: Any) -> FinalRecord:
+    """How an archived job ended, as it is stored."""
+    return msgspec.convert(value, FinalRecord)
 
 
-def final_record(standing: Standing, done: int) -> dict[str, Any]:
-    """The value that says how an archived job ended."""
-    return {"standing": standing.value, "done": done}
+def read_ends(value: Any) -> list[EndEntry]:
+    """The final states of a record that jobs share, as it is stored."""
+    return msgspec.convert(value["ends"], list[EndEntry])
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -112,9 +112,9 @@
             self._load_done(item)
 
     def _load_ends(self, item: Item) -> None:
-        for job_id, standing, _ in item.value["ends"]:
-            if job_id in self.cluster.jobs:
-                self._final(self.cluster.jobs[job_id], Standing(standing), item.key)
+        for entry in records.read_ends(item.value):
+            if entry.job in self.cluster.jobs:
+                self._final(self.cluster.jobs[entry.job], entry.standing, item.key)
         if item.key not in self.archive.ends_left:
             self.writer.offer_drop(item.key)
 
@@ -125,7 +125,7 @@
             self.writer.offer_drop(item.key)
             return
         job.done_keys.add(item.key)
-        for low, high in item.value["done"]:
+        for low, high in records.read_done(item.value).done:
             job.done.add(low, high)
             job.stored.add(low, high)
             job.todo.remove(low, high)
@@ -218,9 +218,9 @@
         past = await self.store.get(records.PAST + job_id)
         if past is None:
             return None
-        standing = Standing(past.value["standing"])
-        self.cluster.remember(job_id, standing)
-        return 200, names.job_status(job_id, standing, past.value.get("done", 0))
+        final = records.read_final(past.value)
+        self.cluster.remember(job_id, final.standing)
+        return 200, names.job_status(job_id, final.standing, final.done)
 
     async def query(self, job_id: str) -> Answer:
         """A poll for a job that memory alone can't answer."""
@@ -265,8 +265,8 @@
     # --- fates ---------------------------------------------------------------
     async def _settle(self, job: Job, standing: Standing) -> None:
         """Store the final state; only then does anyone hear of it."""
-        entry = [job.spec.id, standing.value, len(job.done)]
-        job.settling = self.new_ends.add(entry)
+        entry = records.EndEntry(job.spec.id, standing, len(job.done))
+        job.settling = self.new_ends.add(records.to_value(entry))
         try:
             end = await job.settling
         finally:
@@ -305,11 +305,11 @@
         block = news // self.block
         record = records.done_record(job.done, block, self.block)
         key = records.done_key(job.spec.id, block, self.block)
-        change = Change({}, [Put(key, record)])
+        change = Change({}, [Put(key, records.to_value(record))])
 
         def stored() -> None:
             job.done_keys.add(key)
-            for low, high in record["done"]:
+            for low, high in record.done:
                 job.stored.add(low, high)
             if job.done.first_outside(job.stored) is not None:
                 self.note_done(job)
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -81,9 +81,6 @@
         self.jobs = Jobs(
             self.cluster, params, store, self.writer, self._request_round, self._cancelled, wall
         )
-        self.placement = Placement(
-            self.cluster, params, self.writer, self.workers, wall, self.may_act
-        )
         self.fleet = Fleet(
             self.cluster,
             params,
@@ -94,8 +91,10 @@
             self._request_round,
             operator.idle_hold_s,
         )
+        self.placement = Placement(
+            self.cluster, params, self.writer, self.workers, wall, self.may_act, self.fleet
+        )
         self.cluster.on_room = self._request_round
-        self.placement.on_unplaced = self._unplaced
         self.requests: set[asyncio.Task[Answer]] = set()
 
     def enter(self, phase: LeaderPhase) -> None:
@@ -111,12 +110,6 @@
     def _request_round(self) -> None:
         self.placement.request_round()
 
-    def _unplaced(self) -> None:
-        self.fleet.unplaced = self.placement.unplaced
-        self.fleet.spare_room = self.placement.spare_room
-        if self.placement.unplaced:
-            self.fleet.request_plan()
-
     def _done(self, job: Job) -> None:
         self.jobs.note_done(job)
 
@@ -179,7 +172,7 @@
                 await asyncio.sleep(constants.STORE_RETRY_S)
         if types is not None:
             self.writer.versions[TYPES] = types.version
-            self.fleet.set_types(types.value["builds"])
+            self.fleet.load_types(types.value)
         self.jobs.load(live, done, revision)
         self.caches.load(caches)
         self.suspects.load(suspects)
--- a/peathall/leadership/election.py
+++ b/peathall/leadership/election.py
@@ -11,7 +11,9 @@
 import random
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
-from typing import Any
+
+import msgspec
+from msgspec import Struct
 
 from peathall import constants
 from peathall.leadership.lease import LeadLease
@@ -39,6 +41,14 @@
     RESTING = auto()  # gave the lead up since workers did not reach us
 
 
+class LeadValue(Struct, frozen=True):
+    """The value of `lead`: who leads, in which term, on which lease."""
+
+    member: str
+    term: int
+    lease: int
+
+
 class Mandate:
     """What a won election gives: the term, `lead` as it was written, and its lease."""
 
@@ -94,13 +104,14 @@
         while True:
             try:
                 item = await self.store.get(LEAD, first=True)
-                if item is not None and item.value.get("member") == self.name:
+                lead = msgspec.convert(item.value, LeadValue) if item is not None else None
+                if lead is not None and lead.member == self.name:
                     # We are not leading, so this is an earlier life of ours or a
                     # campaign whose answer was lost: nobody acts on it.
-                    log.info("ending the lease of an earlier life (term %s)", item.value["term"])
-                    await self._end(item.value["lease"])
-                    item = None
-                self._follow(item.value if item else None)
+                    log.info("ending the lease of an earlier life (term %d)", lead.term)
+                    await self._end(lead.lease)
+                    item = lead = None
+                self._follow(lead)
                 if item is None:
                     if not self._resting():
                         if not started:
@@ -122,8 +133,8 @@
             self.vacant_since = now
         return now < self.rest_until and now - self.vacant_since < constants.REST_VACANT_S
 
-    def _follow(self, value: dict[str, Any] | None) -> None:
-        leader = value["member"] if value else None
+    def _follow(self, lead: LeadValue | None) -> None:
+        leader = lead.member if lead is not None else None
         if leader != self.leader:
             log.info("leader is now %s", leader)
         self.leader = leader
@@ -153,7 +164,7 @@
         term = (term_item.value["n"] if term_item else 0) + 1
         sent = self.loop.time()
         lease_id = await self.store.lease(constants.LEAD_TTL_S)
-        record = {"member": self.name, "term": term, "lease": lease_id}
+        record = msgspec.to_builtins(LeadValue(self.name, term, lease_id))
         try:
             version = await self.store.commit(
                 {LEAD: 0, TERM: term_item.version if term_item else 0},
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable
 from itertools import groupby
+from typing import Protocol
 
 from peathall import constants
 from peathall.cluster import ClusterState
@@ -14,7 +15,7 @@
 from peathall.placement.planner import Round
 from peathall.placement.rounds import Piece, RoundRecords, joined_by_gangs
 from peathall.placement.snapshot import Snapshot
-from peathall.placement.views import JobView, Move, Plan, Start
+from peathall.placement.views import Move, Plan, Start
 from peathall.settings import Params
 from peathall.store.client import StoreError
 from peathall.store.writer import Writer
@@ -24,6 +25,13 @@
 log = logging.getLogger("peathall.placement")
 
 
+class DemandListener(Protocol):
+    """Who finds machines for what has no room."""
+
+    def note_unplaced(self, plan: Plan) -> None:
+        """What a round found no room for, and the room that it left."""
+
+
 class Placement:
     """The leader's rounds, and the effects of their plans."""
 
@@ -35,8 +43,10 @@
         workers: Workers,
         wall: Callable[[], float],
         may_act: Callable[[], bool],
+        demand: DemandListener,
     ) -> None:
         self.cluster = cluster
+        self.demand = demand
         self.params = params
         self.writer = writer
         self.workers = workers
@@ -44,9 +54,6 @@
         self.may_act = may_act
         self.loop = asyncio.get_running_loop()
         self.wake = asyncio.Event()
-        self.unplaced: list[tuple[JobView, int]] = []
-        self.spare_room: dict[str, list[float]] = {}
-        self.on_unplaced: Callable[[], None] = lambda: None
         self.bookings = Bookings()
         self.snapshot = Snapshot(cluster, params, workers, self.bookings)
         self.rounds = RoundRecords(cluster, writer)
@@ -77,8 +84,7 @@
     async def round(self, now: float) -> None:
         """Decide, stop, move and start."""
         plan = await self.decide(now)
-        self.unplaced, self.spare_room = plan.unplaced, plan.spare_room
-        self.on_unplaced()
+        self.demand.note_unplaced(plan)
         for job_id, task in plan.stops:
             self._preempt(job_id, task, now)
         for move in plan.moves:
--- a/peathall/wire/names.py
+++ b/peathall/wire/names.py
@@ -352,6 +352,22 @@
     )
 
 
+def machine_type_to_wire(kind: MachineType) -> dict[str, Any]:
+    """A machine type as the cloud describes it: so it is stored, for any version to read."""
+    return {
+        "label": kind.name,
+        "vcpus": kind.cpus,
+        "cards": kind.gpus,
+        "ram_gb": kind.ram,
+        "cache_gb": kind.cache_gb,
+        "pull_gb_per_s": kind.fetch_gb_per_s,
+        "rate": kind.price,
+        "market_price": kind.spot_price,
+        "startup_s": kind.boot_s,
+        "wards": kind.zones,
+    }
+
+
 class ListedMachine(Struct, frozen=True):
     """A machine of the cloud's list."""
 
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import orjson
@@ -61,7 +62,8 @@
     """Rounds of a leader that may act, for a team without limits."""
     state = StateSettings(100.0, 50.0, 2.0, 4)
     params = Params(workers.settings, state, CloudSettings(4.0, 4.0), [Team("t")])
-    return Placement(workers.cluster, params, writer, workers, lambda: 0.0, lambda: True)
+    demand: Any = SimpleNamespace(note_unplaced=lambda plan: None)
+    return Placement(workers.cluster, params, writer, workers, lambda: 0.0, lambda: True, demand)
 
 
 def lone_peers() -> Peers:
