--- a/peathall/duties/claim.py
+++ b/peathall/duties/claim.py
@@ -105,13 +105,23 @@
             await self._end(holder.lease)
             await self.board.changed(constants.STORE_RETRY_S)
         elif holder is None and self.board.known and self.board.mark and self.may_claim():
-            pause = self.reluctance_s() + self.rng.random() * constants.CAMPAIGN_JITTER_S
-            await self.board.changed(pause)
-            if self.duty not in self.board.holders and self.may_claim():
+            if await self._stays_vacant():
                 await self._claim()
         else:
             await self.board.changed(constants.DUTY_LOOK_S)
 
+    async def _stays_vacant(self) -> bool:
+        """Whether nobody else claims it within the time that we leave to others."""
+        began = self.loop.time()
+        jitter = self.rng.random() * constants.CAMPAIGN_JITTER_S
+        while self.duty not in self.board.holders and self.board.mark and self.may_claim():
+            # Asked anew: whoever won the lead learns of the mark before it learns that it won.
+            left = began + jitter + self.reluctance_s() - self.loop.time()
+            if left <= constants.DUTY_CLAIM_STEP_S:
+                return True
+            await self.board.changed(left)
+        return False
+
     async def _claim(self) -> None:
         self._enter(DutyPhase.CLAIMING)
         item = await self.store.get(self.duty.token_key, first=True)
--- a/peathall/duties/executor.py
+++ b/peathall/duties/executor.py
@@ -61,7 +61,9 @@
         self.store = store
         self.cloud = cloud
         self.checkpoint = checkpoint
-        self.writer = Writer(store, limits, tenure.record, claim.may_act, claim.lost)
+        self.writer = Writer(
+            store, limits, tenure.record, claim.may_act, claim.lost, fence_doubts=True
+        )
         self.adopted = asyncio.Event()
         self.acts: dict[str, asyncio.Task[ActAnswer]] = {}  # under way, by name
         self.results: OrderedDict[str, ActAnswer] = OrderedDict()  # of the latest
--- a/peathall/fleet/returns.py
+++ b/peathall/fleet/returns.py
@@ -81,8 +81,10 @@
             why = self._why_delete_silent(machine, now, heard, elsewhere)
             if why:
                 return why
+        # One that is not confirmed takes no work yet: it is not idle.
         if (
             phase is MachinePhase.UP
+            and machine.confirmed
             and not machine.attempts
             and now - machine.idle_since > self.hold_s(machine, now)
         ):
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -148,7 +148,9 @@
         lead: LeadRecord,
         may_act: Callable[[], bool],
         on_deposed: Callable[[], None],
+        fence_doubts: bool = False,
     ) -> None:
+        self.fence_doubts = fence_doubts  # see _commit()
         self.store = store
         self.limits = limits
         self.value_limit = int(limits.value_kb * 1024 * constants.VALUE_FILL)  # bytes of a value
@@ -292,7 +294,9 @@
         transaction = self._transaction(batch)
         while self.phase is not WriterPhase.STOPPED:
             try:
-                revision = await self._try(transaction)
+                if await self._complete(transaction, await self._try(transaction)):
+                    return
+                break
             except StoreDoubtError as exc:
                 log.info("no answer to a commit, or to whether it was carried out: %s", exc)
                 transaction.doubt = True
@@ -309,14 +313,18 @@
                 if await self._resolve_conflict(transaction, exc):
                     return
                 break
-            else:
-                self._applied(batch, revision)
-                return
         deposed = self.phase is not WriterPhase.STOPPED
         self._settle(batch, DeposedError())
         if deposed:
             self.on_deposed()
 
+    async def _complete(self, transaction: Transaction, revision: int) -> bool:
+        """It is carried out. False if the lead is lost."""
+        self._applied(transaction.batch, revision)
+        # What it wrote may be dropped before an earlier try of it is carried out late, whose
+        # conditions would then hold once more.
+        return not (transaction.doubt and self.fence_doubts) or await self._fence()
+
     def _transaction(self, batch: list[Change]) -> Transaction:
         conditions = {self.lead.key: self.lead.version}
         ops: list[Put | Drop] = []
--- a/tests/sim/state.py
+++ b/tests/sim/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from bisect import bisect_right as bisect
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, unquote
@@ -203,8 +204,8 @@
         while True:
             news = [
                 {"drop": k, "stamp": r} if gone else {"write": k, "data": v, "stamp": r}
-                for r, k, v, gone in self.changes
-                if r > after and k.startswith(query["prefix"])
+                for r, k, v, gone in self.changes[bisect(self.changes, after, key=lambda c: c[0]) :]
+                if k.startswith(query["prefix"])
             ]
             left = ends - self.loop.now
             caller = self.refused_until.get(CALLER.get(), -1.0)
--- a/tests/sim/test_duties.py
+++ b/tests/sim/test_duties.py
@@ -10,9 +10,11 @@
 
 import pytest
 
-from peathall.duties.model import Duty, DutyPhase, Mode
+from peathall.duties.model import ActRequest, Duty, DutyPhase, Mode
 from peathall.duties.settings import DutySettings
+from peathall.fleet.actions import CloudError, Rental
 from peathall.settings import Operator
+from peathall.store.writer import Transaction, Writer
 from tests.sim.duty_history import DutyHistory
 from tests.sim.net import VirtualLoop
 from tests.sim.sites import node_settings
@@ -287,6 +289,8 @@
     async def day(world: World, history: DutyHistory) -> None:
         del world.operators[0]
         await world.begin()
+        await asyncio.sleep(3.0)
+        world.crash_node(0, 6.0)  # if it led from before the switch
         await until(world, lambda: all(holder(world, duty) is not None for duty in Duty))
         for _ in range(4):
             for index in (1, 2):
@@ -356,7 +360,13 @@
         actions = node.leader.fleet.actions
 
         async def give_back() -> None:
-            await asyncio.gather(*(actions.delete(names[i : i + 100]) for i in range(0, 4000, 100)))
+            for first in range(0, 4000, 100):
+                while True:  # as the fleet does
+                    try:
+                        await actions.delete(names[first : first + 100])
+                        break
+                    except CloudError:
+                        await asyncio.sleep(1.0)
 
         began = world.loop.now
         await world.loop.create_task(give_back(), context=world.context(host))
@@ -372,6 +382,8 @@
 
     async def day(world: World, history: DutyHistory) -> None:
         rng = random.Random(620)
+        busy = Operator(idle_hold_s=1.0, duties=DutySettings())  # machines come and go
+        world.operators = dict.fromkeys(range(5), busy)
         await settled(world)
         jobs = []
         for number in range(1000):
@@ -382,7 +394,7 @@
                     world.crash_node(index, rng.choice([0.2, 3.0]))
                 else:
                     world.freeze_node(index, rng.choice([0.1, 0.5, 2.0, 7.0]))
-            if number % 40 == 0:
+            if number % 15 == 0:
                 jobs.append(submit(world, 1000 + number, parcels=2))
             await asyncio.sleep(rng.uniform(0.0, 0.6))
         world.troubled_until = world.loop.now
@@ -405,8 +417,6 @@
 
 def test_a_holder_without_its_condition_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
     """The same judgement of a holder whose commits depend on nothing finds it out."""
-    from peathall.store.writer import Transaction, Writer
-
     plain = Writer._transaction
 
     def unconditional(writer: Writer, batch: Any) -> Transaction:
@@ -426,16 +436,12 @@
             assert index is not None
             held = claim(world, index, Duty.RENTING)
             executor = world.nodes[index][1].duties.executors[Duty.RENTING]
-            request = None
             world.freeze_node(index, 9.0)
             submit(world, 1)
             await asyncio.sleep(8.5)
             held.tenure.lease.until = 1e9
             leader = world.leader()
-            assert leader is not None and request is None
-            from peathall.duties.model import ActRequest
-            from peathall.fleet.actions import Rental
-
+            assert leader is not None
             lead = world.state.data["lead"]
             late = ActRequest(
                 Duty.RENTING, held.tenure.holder.token, lead[0]["term"], lead[1],
--- a/tests/unit/test_fleet.py
+++ b/tests/unit/test_fleet.py
@@ -194,3 +194,18 @@
         assert not way_made(now + 3 * constants.MAKE_WAY_S)  # it could use them itself
 
     play(test)
+
+
+def test_a_machine_that_can_take_no_work_yet_is_not_idle() -> None:
+    """It was held for less than its second report takes: it was returned before any work could
+    come, another was rented, and so on without end."""
+
+    async def test(fleet: Fleet, workers: Workers, cloud: Cloud) -> None:
+        fleet.returns.idle_hold_s = 1.0
+        now = asyncio.get_running_loop().time()
+        workers.checkin(report(1, 1, 0, machine="m-1"), now)
+        assert not fleet._to_delete(now + 4.0)
+        workers.checkin(report(1, 2, workers.base, machine="m-1"), now + 5.0)
+        assert [m.name for m in fleet._to_delete(now + 5.1)] == ["m-1"]
+
+    play(test)
