--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -184,5 +184,6 @@
 DUTY_WAIT_S = 3.0  # s; a holder answers by then, with what it knows
 DUTY_ASK_S = 4.0  # s; the leader waits a little longer than that
 DUTY_ASKS_AT_ONCE = 16  # requests of a leader to one holder: each takes a socket of both
+DUTY_LEADER_WRITES = 0.5  # of the changes a second, while holders write beside the leader
 DUTY_CLOUD_SHARE = 0.3  # of the cloud's calls for each holder; the leader's looks need 0.4
 DUTY_CLAIM_STEP_S = 0.001  # s; timers fire in steps of about this: no shorter wait is begun
--- a/peathall/duties/executor.py
+++ b/peathall/duties/executor.py
@@ -27,7 +27,14 @@
 from peathall.fleet.actions import CloudActions, CloudError, NoCapacityError
 from peathall.leadership.election import LEAD
 from peathall.settings import StateSettings
-from peathall.store.client import ConflictError, Drop, Put, StateClient, StoreError
+from peathall.store.client import (
+    ConflictError,
+    Drop,
+    InvalidError,
+    Put,
+    StateClient,
+    StoreError,
+)
 from peathall.store.writer import DeposedError, Writer
 
 log = logging.getLogger("peathall.duties")
@@ -131,13 +138,32 @@
                 return ActAnswer(Outcome.REFUSED, why="its lease is not sure now")
             if len(self.acts) >= constants.DUTY_ACTS_MOST:
                 return ActAnswer(Outcome.REFUSED, why="too many actions are unfinished")
-            self._begin(request.name, self._commit(request))
+            store_only = request.write is not None
+            work = self._write(request) if store_only else self._commit(request)
+            self._begin(request.name, work)
         act = self.acts[request.name]
         done, _ = await asyncio.wait([act], timeout=constants.DUTY_WAIT_S)
         if not done or act.cancelled() or act.exception() is not None:
             return ActAnswer(Outcome.PENDING, why="committed or under way, not finished")
         return act.result()
 
+    async def _write(self, request: ActRequest) -> ActAnswer:
+        """A change of the store alone: its commit is the action."""
+        work = request.write
+        assert work is not None
+        ops: list[Put | Drop] = [Put(put.key, put.value) for put in work.puts]
+        ops += [Drop(key) for key in work.drops]
+        conditions = work.conditions | {LEAD: request.lead_version}
+        try:
+            revision = await self.writer.submit(ops, conditions)
+        except ConflictError as exc:
+            return ActAnswer(Outcome.CONFLICT, why=str(exc), failed=exc.failed)
+        except InvalidError as exc:
+            return ActAnswer(Outcome.INVALID, why=str(exc))
+        for op in ops:
+            self.writer.versions.pop(op.key, None)  # whoever asks names the versions
+        return ActAnswer(Outcome.DONE, revision=revision)
+
     async def _commit(self, request: ActRequest) -> ActAnswer:
         key = self.duty.act_prefix + request.name
         token = self.tenure.holder.token
--- a/peathall/duties/model.py
+++ b/peathall/duties/model.py
@@ -28,6 +28,8 @@
 
     RENTING = "renting"
     RETURNING = "returning"
+    RECLAIMING = "reclaiming"  # records of rounds give back what is surely gone
+    CLEANUP = "cleanup"  # archiving, and dropping records that nothing needs
 
     @property
     def holder_key(self) -> str:
@@ -95,6 +97,22 @@
     machines: list[str]
 
 
+class StoredValue(Struct, frozen=True):
+    """A record to be written."""
+
+    key: str
+    value: Any
+
+
+class StoreWork(Struct, frozen=True):
+    """A transaction: versions on which it depends, and what it changes."""
+
+    name: str
+    conditions: dict[str, int]
+    puts: list[StoredValue]
+    drops: list[str]
+
+
 class ActRecord(Struct, frozen=True):
     """An action as it was committed, before its side effect."""
 
@@ -113,13 +131,19 @@
     lead_version: int  # of the leader's record: its successor's has another
     rental: Rental | None = None
     deletion: Deletion | None = None
+    write: StoreWork | None = None
 
     @property
     def name(self) -> str:
         """Of the action; the same whenever it is asked for."""
         if self.rental is not None:
             return self.rental.request
-        return self.deletion.name if self.deletion is not None else ""
+        named = self.deletion or self.write
+        return named.name if named is not None else ""
+
+    def meant_for(self, holder: HolderRecord) -> ActRequest:
+        """The same, for this holder of the duty."""
+        return msgspec.structs.replace(self, token=holder.token)
 
 
 class Outcome(Enum):
@@ -127,6 +151,8 @@
 
     DONE = "done"
     NO_CAPACITY = "no-capacity"
+    CONFLICT = "conflict"  # a condition of a transaction does not hold
+    INVALID = "invalid"  # the state service will never take such a transaction
     PENDING = "pending"  # committed, or perhaps committed: ask again under the same name
     REFUSED = "refused"  # nothing of this order was committed
 
@@ -137,6 +163,8 @@
     outcome: Outcome
     machines: list[str] = []
     why: str = ""
+    revision: int = 0  # of a transaction
+    failed: list[str] = []  # keys that did not have the version that was the condition
 
 
 def to_value(record: Struct) -> Any:
--- a/peathall/duties/service.py
+++ b/peathall/duties/service.py
@@ -6,6 +6,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -32,6 +33,7 @@
 )
 from peathall.duties.settings import DutySettings
 from peathall.duties.status import DutiesStatus, describe
+from peathall.duties.writes import DelegatedWrites
 from peathall.fleet.client import CloudClient
 from peathall.leadership.election import LEAD, LeadValue
 from peathall.settings import Settings
@@ -45,6 +47,26 @@
 Send = Callable[[str, str, bytes, float], Awaitable[tuple[int, bytes]]]
 
 
+@dataclass(frozen=True, slots=True)
+class Delegation:
+    """A leader's ways to the holders, for one term."""
+
+    cloud: DelegatedCloud
+    reclaiming: DelegatedWrites
+    cleanup: DelegatedWrites
+
+    async def run(self) -> None:
+        """Hand over what is offered, until the term is over."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.reclaiming.run())
+            tasks.create_task(self.cleanup.run())
+
+    def act_directly(self) -> None:
+        """Duties are off: the leader's writer takes over what waits."""
+        self.reclaiming.act_directly()
+        self.cleanup.act_directly()
+
+
 class Duties:
     """Claims of this controller, and its ways to the holders."""
 
@@ -67,7 +89,7 @@
         self.checkpoint = checkpoint
         self.board = DutyBoard(store)
         self.executors: dict[Duty, DutyExecutor] = {}
-        self.delegated: DelegatedCloud | None = None  # while we lead
+        self.delegated: Delegation | None = None  # of our latest term
         self.outstanding = False  # an earlier holder left actions, as far as a retiring one knows
         self.claims = {duty: self._claim(duty, wall, rng) for duty in own.held()}
 
@@ -128,11 +150,15 @@
             await claim.give_up()
 
     # --- leading -------------------------------------------------------------
-    def delegate(self, term: int, writer: Writer) -> DelegatedCloud:
-        """The cloud as the leader of this term reaches it."""
-        self.delegated = DelegatedCloud(
-            term, lambda: writer.lead.version, self.board.holders.get, self._ask
-        )
+    def delegate(self, term: int, writer: Writer) -> Delegation:
+        """Ways from the leader of this term to the holders."""
+        holder = self.board.holders.get
+        cloud = DelegatedCloud(term, lambda: writer.lead.version, holder, self._ask)
+
+        def writes(duty: Duty) -> DelegatedWrites:
+            return DelegatedWrites(duty, term, writer, self.leads, holder, self._ask, cloud.waiting)
+
+        self.delegated = Delegation(cloud, writes(Duty.RECLAIMING), writes(Duty.CLEANUP))
         return self.delegated
 
     async def condemned(self) -> set[str]:
@@ -188,7 +214,7 @@
         """Why work waits, by duty, as far as we lead."""
         if self.delegated is None or not self.leads():
             return {}
-        return {duty.value: why for duty, why in self.delegated.waiting.items()}
+        return {duty.value: why for duty, why in self.delegated.cloud.waiting.items()}
 
     async def _ask_waiting(self, leader: str) -> dict[str, str]:
         try:
--- /dev/null
+++ b/peathall/duties/writes.py
@@ -0,0 +1,171 @@
+"""The leader's side of duties that change the store alone: reclaiming and cleaning up.
+
+What the leader would write when there is budget to spare goes to the holder of the duty instead,
+whose commit is conditional on its own record, on the leader's, and on every record that it changes.
+The action is the commit, so it needs no intent before it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from peathall import constants
+from peathall.duties.delegate import Ask
+from peathall.duties.model import (
+    ActAnswer,
+    ActRequest,
+    Duty,
+    HolderRecord,
+    Outcome,
+    StoredValue,
+    StoreWork,
+)
+from peathall.leadership.election import LEAD
+from peathall.store.client import ConflictError, Drop, InvalidError, Put
+from peathall.store.writer import Batch, Change, Writer
+
+log = logging.getLogger("peathall.duties")
+
+
+class DelegatedWrites:
+    """Changes on their way to the holder of one duty, one batch at a time."""
+
+    def __init__(
+        self,
+        duty: Duty,
+        term: int,
+        writer: Writer,
+        may_act: Callable[[], bool],
+        holder: Callable[[Duty], HolderRecord | None],
+        ask: Ask,
+        waiting: dict[Duty, str],
+    ) -> None:
+        self.duty = duty
+        self.term = term
+        self.writer = writer
+        self.may_act = may_act
+        self.holder = holder
+        self.ask = ask
+        self.waiting = waiting  # why work waits, by duty
+        self.direct = False  # the leader writes by itself again
+        self._offered: dict[str, Callable[[], Change | None]] = {}
+        self._again: list[Change] = []  # made, and to be written with the next batch
+        self._wake = asyncio.Event()
+        self._number = 0
+
+    def offer(self, name: str, make: Callable[[], Change | None], must: bool = False) -> None:
+        """As the writer's: offered again under its name it is still written once."""
+        if self.direct:
+            self.writer.offer(name, make, must)
+            return
+        self._offered.setdefault(name, make)
+        self._wake.set()
+
+    def offer_drop(self, key: str) -> None:
+        """Delete a record."""
+        self.offer(f"drop {key}", lambda: Change({}, [Drop(key)]))
+
+    async def run(self) -> None:
+        """Hand over what is offered, until the term is over."""
+        while True:
+            if not (self._offered or self._again):
+                self._wake.clear()
+                await self._wake.wait()
+            batch = self._take()
+            if batch:
+                await self._hand_over(batch)
+
+    def act_directly(self) -> None:
+        """Nobody holds the duty any more: what waits goes to the leader's writer."""
+        self.direct = True
+        for name, make in self._offered.items():
+            self.writer.offer(name, make)
+        self._offered.clear()
+
+    def _take(self) -> list[Change]:
+        batch = Batch(self.writer.limits)
+        self._again = [change for change in self._again if not batch.add(change)]
+        for name in list(self._offered):
+            if self._again or batch.ops >= batch.most_ops:
+                break
+            change = self._offered.pop(name)()
+            if change is not None and not batch.add(change):
+                self._again.append(change)
+        return batch.changes
+
+    def _request(self, batch: list[Change]) -> ActRequest:
+        self._number += 1
+        conditions: dict[str, int] = {}
+        puts: list[StoredValue] = []
+        drops: list[str] = []
+        for change in batch:
+            for op in change.ops:
+                conditions[op.key] = self.writer.versions.get(op.key, 0)
+                if isinstance(op, Put):
+                    puts.append(StoredValue(op.key, op.value))
+                else:
+                    drops.append(op.key)
+            conditions.update(change.conditions)
+        work = StoreWork(f"w-{self.term}-{self._number}", conditions, puts, drops)
+        return ActRequest(self.duty, 0, self.term, self.writer.lead.version, write=work)
+
+    async def _hand_over(self, batch: list[Change]) -> None:
+        """Until its fate is known. A try without an answer may have been carried out."""
+        request, doubt = self._request(batch), False
+        while True:
+            if self.direct:
+                if not (doubt and await self._was_applied(batch, request)):
+                    self.writer.take_over(batch)
+                return
+            answer = await self._ask(request)
+            if answer.outcome is Outcome.DONE:
+                self.waiting.pop(self.duty, None)
+                self.writer.applied(batch, answer.revision)
+                return
+            doubt = doubt or answer.outcome is Outcome.PENDING
+            if answer.outcome in (Outcome.CONFLICT, Outcome.INVALID):
+                if doubt and await self._was_applied(batch, request):
+                    return
+                if answer.outcome is Outcome.INVALID:
+                    await self._give_up_invalid(batch, answer)
+                    return
+                if LEAD not in answer.failed:
+                    self._split(batch, answer.failed)
+                    return
+                # Our record was written anew as a fence; or we are replaced, and the term ends.
+                request = self._request(batch)
+            self.waiting[self.duty] = answer.why
+            await asyncio.sleep(constants.STORE_RETRY_S if doubt else constants.TICK_S)
+
+    async def _ask(self, request: ActRequest) -> ActAnswer:
+        holder = self.holder(self.duty)
+        if holder is None:
+            return ActAnswer(Outcome.REFUSED, why="nobody holds the duty")
+        if not self.may_act():
+            return ActAnswer(Outcome.REFUSED, why="our lease on the lead is not sure")
+        return await self.ask(holder, request.meant_for(holder))
+
+    async def _was_applied(self, batch: list[Change], request: ActRequest) -> bool:
+        assert request.write is not None
+        ops = [op for change in batch for op in change.ops]
+        conditions = request.write.conditions | {LEAD: request.lead_version}
+        revision = await self.writer.until_known(ops, conditions)
+        if revision:
+            self.writer.applied(batch, revision)
+        return revision > 0
+
+    async def _give_up_invalid(self, batch: list[Change], answer: ActAnswer) -> None:
+        log.error("the state service does not take a commit of %s: %s", self.duty.value, answer.why)
+        if len(batch) == 1:
+            self.writer.settle(batch, InvalidError(answer.why))
+            return
+        for change in batch:
+            await self._hand_over([change])
+
+    def _split(self, batch: list[Change], failed: list[str]) -> None:
+        """A record is not what we thought: fail its change, write the others."""
+        bad, rest = self.writer.parted(batch, failed)
+        self.writer.settle(bad, ConflictError(failed))
+        self._again[:0] = rest
--- a/peathall/jobs/archive.py
+++ b/peathall/jobs/archive.py
@@ -17,7 +17,7 @@
 from peathall.jobs.model import Job
 from peathall.store.client import Drop, Put, StateClient, StoreError
 from peathall.store.shared_records import SharedRecordWriter
-from peathall.store.writer import Change, Writer
+from peathall.store.writer import Change, Offers, Writer
 from peathall.wire import names
 from peathall.wire.body import json_size
 
@@ -40,7 +40,9 @@
         writer: Writer,
         new_jobs: SharedRecordWriter,
         background: BackgroundTasks,
+        cleanup: Offers,
     ) -> None:
+        self.cleanup = cleanup  # who archives, and drops what nothing needs
         self.cluster = cluster
         self.changes_at_once = changes_at_once
         self.store = store
@@ -69,7 +71,7 @@
             del self.jobs_by_record[duplicate]
             self.add(job, record_key)
         self.duplicates[job.spec.id] = duplicate
-        self.writer.offer(f"duplicate {duplicate}", lambda: self._trim(duplicate))
+        self.cleanup.offer(f"duplicate {duplicate}", lambda: self._trim(duplicate))
 
     def add_end(self, job: Job, record_key: str) -> None:
         """This record holds the job's final state."""
@@ -104,7 +106,7 @@
                 job.record_key = key
                 self.jobs_by_record.setdefault(key, {})[job.spec.id] = None
                 self.duplicates[job.spec.id] = record_key
-            self.writer.offer(f"duplicate {record_key}", lambda: self._trim(record_key))
+            self.cleanup.offer(f"duplicate {record_key}", lambda: self._trim(record_key))
         finally:
             self.dividing.discard(record_key)
 
@@ -130,7 +132,7 @@
     def archive_if_over(self, job: Job) -> None:
         """Offer to archive the job, if nothing of it is left."""
         if self.can_go(job) and self.cluster.jobs.get(job.spec.id) is job:
-            self.writer.offer(job.record_key, lambda: self._archive_change(job.record_key))
+            self.cleanup.offer(job.record_key, lambda: self._archive_change(job.record_key))
 
     def can_go(self, job: Job) -> bool:
         """Whether it may be archived: while a second record holds it, or is about to, a new leader
@@ -174,7 +176,7 @@
     def _archived(self, record_key: str, over: list[Job], done: asyncio.Future[int]) -> None:
         self.archiving.discard(record_key)
         if record_key in self.duplicates.values():
-            self.writer.offer(f"duplicate {record_key}", lambda: self._trim(record_key))
+            self.cleanup.offer(f"duplicate {record_key}", lambda: self._trim(record_key))
         for job in over:
             job.writing = False
         if done.cancelled() or done.exception() is not None:
@@ -190,9 +192,9 @@
             self.ends_left[job.end].discard(job_id)
             if not self.ends_left[job.end]:
                 del self.ends_left[job.end]
-                self.writer.offer_drop(job.end)
+                self.cleanup.offer_drop(job.end)
             for key in job.done_keys:
-                self.writer.offer_drop(key)
+                self.cleanup.offer_drop(key)
         if not self.jobs_by_record[record_key]:
             del self.jobs_by_record[record_key]
 
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -24,7 +24,7 @@
     StoreError,
 )
 from peathall.store.shared_records import SharedRecordWriter
-from peathall.store.writer import Change, Writer
+from peathall.store.writer import Change, Offers, Writer
 from peathall.wire import names
 from peathall.wire.names import JobSpec, MachineType, Standing
 
@@ -72,7 +72,9 @@
         on_change: Callable[[], None],
         on_cancelled: Callable[[Job], None],
         wall: Callable[[], float],
+        cleanup: Offers | None = None,
     ) -> None:
+        self.cleanup = cleanup or writer
         self.cluster = cluster
         self.params = params
         self.store = store
@@ -88,7 +90,13 @@
         self.revision = 0  # up to which jobs accepted elsewhere are known
         self.background = BackgroundTasks()
         self.archive = JobArchive(
-            cluster, params.state.changes_at_once, store, writer, self.new_jobs, self.background
+            cluster,
+            params.state.changes_at_once,
+            store,
+            writer,
+            self.new_jobs,
+            self.background,
+            self.cleanup,
         )
 
     # --- records -------------------------------------------------------------
@@ -116,13 +124,13 @@
             if entry.job in self.cluster.jobs:
                 self._final(self.cluster.jobs[entry.job], entry.standing, item.key)
         if item.key not in self.archive.ends_left:
-            self.writer.offer_drop(item.key)
+            self.cleanup.offer_drop(item.key)
 
     def _load_done(self, item: Item) -> None:
         self.writer.versions[item.key] = item.version
         job = self.cluster.jobs.get(item.key.removeprefix(records.DONE).rpartition("/")[0])
         if job is None:
-            self.writer.offer_drop(item.key)
+            self.cleanup.offer_drop(item.key)
             return
         job.done_keys.add(item.key)
         for low, high in records.read_done(item.value).done:
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Any
 
@@ -28,7 +28,7 @@
 from peathall.workers.suspects import SUSPECTS, Suspects
 
 if TYPE_CHECKING:
-    from peathall.duties.service import Duties
+    from peathall.duties.service import Delegation, Duties
 
 log = logging.getLogger("peathall.leader")
 
@@ -58,6 +58,7 @@
         duties: Duties | None = None,
     ) -> None:
         self.duties = duties if mandate.delegates else None
+        self.delegation: Delegation | None = None
         params = settings.params
         self.loop = asyncio.get_running_loop()
         self.settings = settings
@@ -68,6 +69,8 @@
         now = self.loop.time()
         self.cluster = ClusterState(mandate.term, first_attempt(mandate.term))
         self.writer = Writer(store, params.state, mandate.record, may_act, depose)
+        if self.duties is not None:
+            self.delegation = self.duties.delegate(mandate.term, self.writer)
         self.workers = Workers(
             self.cluster,
             params.workers,
@@ -84,7 +87,14 @@
         self.workers.on_confirmed = self.caches.recall
         self.suspects = Suspects(self.cluster, self.workers.faults, self.writer)
         self.jobs = Jobs(
-            self.cluster, params, store, self.writer, self._request_round, self._cancelled, wall
+            self.cluster,
+            params,
+            store,
+            self.writer,
+            self._request_round,
+            self._cancelled,
+            wall,
+            self.delegation.cleanup if self.delegation is not None else None,
         )
         self.fleet = Fleet(
             self.cluster,
@@ -95,10 +105,17 @@
             self.may_act,
             self._request_round,
             operator.idle_hold_s,
-            self.duties.delegate(mandate.term, self.writer) if self.duties is not None else None,
+            self.delegation.cloud if self.delegation is not None else None,
         )
         self.placement = Placement(
-            self.cluster, params, self.writer, self.workers, wall, self.may_act, self.fleet
+            self.cluster,
+            params,
+            self.writer,
+            self.workers,
+            wall,
+            self.may_act,
+            self.fleet,
+            self.delegation.reclaiming if self.delegation is not None else None,
         )
         self.cluster.on_room = self._request_round
         self.requests: set[asyncio.Task[Answer]] = set()
@@ -148,9 +165,7 @@
                 self._tick(),
             ):
                 tasks.append(asyncio.create_task(coro))
-            if self.duties is not None and self.duties.retiring:
-                retiring = self.duties.retire(self.writer, self.fleet.act_directly)
-                tasks.append(asyncio.create_task(retiring))
+            tasks += [asyncio.create_task(coro) for coro in self._delegating()]
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 if not task.cancelled() and task.exception() is not None:
@@ -166,6 +181,20 @@
                 request.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _delegating(self) -> Iterator[Coroutine[Any, Any, None]]:
+        """What runs beside, while duties are on."""
+        if self.duties is None or self.delegation is None:
+            return
+        yield self.delegation.run()
+        if self.duties.retiring:
+            yield self.duties.retire(self.writer, self._act_directly)
+
+    def _act_directly(self) -> None:
+        """Duties were taken out of use: this leader acts by itself."""
+        self.fleet.act_directly()
+        if self.delegation is not None:
+            self.delegation.act_directly()
+
     async def _rebuild(self) -> None:
         while True:
             try:
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -59,14 +59,17 @@
         """Make the parts, once a loop runs."""
         settings = self.settings
         self.loop = asyncio.get_running_loop()
+        mode = self.operator.duty_mode
         self.store = StateClient(
-            settings.services.state, settings.params.state, 1 + len(settings.peers)
+            settings.services.state,
+            settings.params.state,
+            1 + len(settings.peers),
+            constants.LEADER_WRITE_SHARE if mode is Mode.OFF else constants.DUTY_LEADER_WRITES,
         )
         self.cloud = CloudClient(
             settings.services.cloud, settings.params.cloud, lambda: self.election.may_act()
         )
         self.leader: Leader | None = None
-        mode = self.operator.duty_mode
         gate = DutyGate(self.store, mode)
         self.election = Election(settings.name, self.store, self._lead, self.rng, gate)
         self.peers = Peers(settings.peers, self._forwarded, self._serve_duty)
--- a/peathall/placement/rounds.py
+++ b/peathall/placement/rounds.py
@@ -24,7 +24,7 @@
 from peathall.jobs.ranges import Ranges
 from peathall.placement.views import Start
 from peathall.store.client import Item, Put
-from peathall.store.writer import Change, Writer
+from peathall.store.writer import Change, Offers, Writer
 from peathall.wire.body import json_size
 from peathall.workers.model import MachinePhase
 
@@ -109,9 +109,12 @@
 class RoundRecords:
     """Writes, reads, compacts and drops the records of rounds."""
 
-    def __init__(self, cluster: ClusterState, writer: Writer) -> None:
+    def __init__(
+        self, cluster: ClusterState, writer: Writer, reclaim: Offers | None = None
+    ) -> None:
         self.cluster = cluster
         self.writer = writer
+        self.reclaim = reclaim or writer  # who gives back what the records name in vain
         self._number = 0
         self._sizes: dict[str, RecordSize] = {}
         cluster.on_round_over = self.drop
@@ -181,7 +184,7 @@
         """None of its attempts can exist any more."""
         self._sizes.pop(key, None)
         if key in self.writer.versions:
-            self.writer.offer_drop(key)
+            self.reclaim.offer_drop(key)
 
     def compact(self, now: float) -> None:
         """Offer to write records anew that have long named many more attempts than may exist."""
@@ -192,7 +195,7 @@
                 and now - size.since > constants.ROUND_COMPACT_S
                 and size.attempts >= constants.ROUND_COMPACT_FACTOR * len(attempts)
             ):
-                self.writer.offer(f"compact {key}", partial(self._compacted, key, now))
+                self.reclaim.offer(f"compact {key}", partial(self._compacted, key, now))
 
     def _compacted(self, key: str, now: float) -> Change | None:
         attempts = list(self.cluster.rounds.get(key, ()))
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -18,7 +18,7 @@
 from peathall.placement.views import Move, Plan, Start
 from peathall.settings import Params
 from peathall.store.client import StoreError
-from peathall.store.writer import Writer
+from peathall.store.writer import Offers, Writer
 from peathall.workers.model import Machine
 from peathall.workers.service import Workers
 
@@ -44,6 +44,7 @@
         wall: Callable[[], float],
         may_act: Callable[[], bool],
         demand: DemandListener,
+        reclaim: Offers | None = None,
     ) -> None:
         self.cluster = cluster
         self.demand = demand
@@ -56,7 +57,7 @@
         self.wake = asyncio.Event()
         self.bookings = Bookings()
         self.snapshot = Snapshot(cluster, params, workers, self.bookings)
-        self.rounds = RoundRecords(cluster, writer)
+        self.rounds = RoundRecords(cluster, writer, reclaim)
         workers.on_notice = self.evacuate
 
     # --- rounds --------------------------------------------------------------
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -113,14 +113,21 @@
 class StateClient:
     """The state service's calls, within this controller's part of its budgets."""
 
-    def __init__(self, addr: str, limits: StateSettings, controllers: int) -> None:
+    def __init__(
+        self,
+        addr: str,
+        limits: StateSettings,
+        controllers: int,
+        leader_writes: float = constants.LEADER_WRITE_SHARE,
+    ) -> None:
         self.limits = limits
+        self.leader_writes = leader_writes  # the leader's part of the changes a second
         self.followers = max(1, controllers - 1)
         self.http = HttpClient(addr)
         self.watch_http = HttpClient(addr)
         self.loop = asyncio.get_running_loop()
         self.requests = Budget(limits.rps * self._share(constants.LEADER_RPS_SHARE, False))
-        self.writes = Budget(limits.write_rps * self._share(constants.LEADER_WRITE_SHARE, False))
+        self.writes = Budget(limits.write_rps * self._share(leader_writes, False))
         self.last_good = -1e9
         self.failing = False  # the latest request was not answered, or refused
 
@@ -130,9 +137,7 @@
         self.requests.set_rate(
             self.limits.rps * self._share(constants.LEADER_RPS_SHARE, leading), now
         )
-        self.writes.set_rate(
-            self.limits.write_rps * self._share(constants.LEADER_WRITE_SHARE, leading), now
-        )
+        self.writes.set_rate(self.limits.write_rps * self._share(self.leader_writes, leading), now)
 
     def fresh(self) -> bool:
         """What we know from the service is no older than a watch's hold."""
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
-from typing import Any
+from typing import Any, Protocol
 
 from peathall import constants
 from peathall.settings import StateSettings
@@ -60,6 +60,16 @@
         return self
 
 
+class Offers(Protocol):
+    """Takes changes that may wait: the leader's writer, or the holder of a duty."""
+
+    def offer(self, name: str, make: Callable[[], Change | None], must: bool = False) -> None:
+        """`make` is asked for its change once there is room for it."""
+
+    def offer_drop(self, key: str) -> None:
+        """Delete a record."""
+
+
 class LeadRecord:
     """The record that shows that we lead; every transaction depends on its version."""
 
@@ -186,6 +196,11 @@
             self.wake.set()
         return change.done
 
+    def take_over(self, changes: list[Change]) -> None:
+        """Write changes that were made for somebody else."""
+        self.queue += changes
+        self.wake.set()
+
     def ask_first(self, name: str, make: Callable[[], Change | None]) -> None:
         """`make` is asked for its change when the next transaction is made up, before all
         others: what it gathers until then shares one record."""
@@ -314,13 +329,13 @@
                     return
                 break
         deposed = self.phase is not WriterPhase.STOPPED
-        self._settle(batch, DeposedError())
+        self.settle(batch, DeposedError())
         if deposed:
             self.on_deposed()
 
     async def _complete(self, transaction: Transaction, revision: int) -> bool:
         """It is carried out. False if the lead is lost."""
-        self._applied(transaction.batch, revision)
+        self.applied(transaction.batch, revision)
         # What it wrote may be dropped before an earlier try of it is carried out late, whose
         # conditions would then hold once more.
         return not (transaction.doubt and self.fence_doubts) or await self._fence()
@@ -355,7 +370,7 @@
             return False
         batch = transaction.batch
         if len(batch) == 1:
-            self._settle(batch, error)
+            self.settle(batch, error)
             return True
         for change in batch:
             await self._commit([change])
@@ -368,9 +383,9 @@
         if transaction.doubt:
             # Our own earlier try may be what changed the records: look once more, now that a
             # further one has been refused for good.
-            applied = await self._until_known(transaction.ops, transaction.conditions)
+            applied = await self.until_known(transaction.ops, transaction.conditions)
             if applied:
-                self._applied(transaction.batch, applied)
+                self.applied(transaction.batch, applied)
                 return True
             if not await self._fence():
                 return False
@@ -399,7 +414,8 @@
             return 0
         return written.pop() if written else before + 1
 
-    async def _until_known(self, ops: list[Put | Drop], conditions: dict[str, int]) -> int:
+    async def until_known(self, ops: list[Put | Drop], conditions: dict[str, int]) -> int:
+        """The revision at which a doubtful transaction went through; 0 if it did not."""
         while self.phase is not WriterPhase.STOPPED:
             try:
                 return await self._tried(ops, conditions)
@@ -428,16 +444,22 @@
 
     async def _split(self, batch: list[Change], failed: list[str]) -> None:
         """A record is not what we thought: fail its change, write the others."""
-        bad = set(failed)
-        rest = []
-        for change in batch:
-            if bad & ({op.key for op in change.ops} | set(change.conditions)):
-                self._settle([change], ConflictError(failed))
-            else:
-                rest.append(change)
+        bad, rest = self.parted(batch, failed)
+        self.settle(bad, ConflictError(failed))
         self.queue[:0] = rest
 
-    def _applied(self, batch: list[Change], revision: int) -> None:
+    @staticmethod
+    def parted(batch: list[Change], failed: list[str]) -> tuple[list[Change], list[Change]]:
+        """Those that depend on one of the keys, and the others."""
+        bad: list[Change] = []
+        rest: list[Change] = []
+        for change in batch:
+            touched = {op.key for op in change.ops} | set(change.conditions)
+            (bad if touched & set(failed) else rest).append(change)
+        return bad, rest
+
+    def applied(self, batch: list[Change], revision: int) -> None:
+        """The changes are stored, at this revision."""
         for change in batch:
             for op in change.ops:
                 if isinstance(op, Put):
@@ -448,7 +470,8 @@
                 change.done.set_result(revision)
 
     @staticmethod
-    def _settle(batch: list[Change], error: Exception) -> None:
+    def settle(batch: list[Change], error: Exception) -> None:
+        """The changes have failed."""
         for change in batch:
             if not change.done.done():
                 change.done.set_exception(error)
--- a/tests/sim/duty_history.py
+++ b/tests/sim/duty_history.py
@@ -22,7 +22,7 @@
         self.committed: dict[str, dict[str, Any]] = {}  # name of a rental -> what was committed
         self.condemned: set[str] = set()
         self.actions = 0
-        self.late = 0  # commits of replaced holders that were refused
+        self.written: dict[str, int] = {}  # duty -> changes of the store alone
         self.state.on_accepted = self.accepted
         world.on_cloud = self.at_cloud
 
@@ -30,8 +30,15 @@
         self.faults.append(f"{self.state.loop.now:.2f} {what}")
 
     def accepted(self, raw: dict[str, Any]) -> None:
+        depends = {condition["k"] for condition in raw["when"]}
+        on = "duties/on" in self.state.data
         for op in raw["apply"]:
             key = op.get("write", "")
+            duty = self.duty_of(key, op.get("drop", ""))
+            if on and duty:
+                self.written[duty] = self.written.get(duty, 0) + 1
+                if not {HOLDER + duty, "lead"} <= depends:
+                    self.fault(f"{op} does not depend on the holder of {duty} and the leader")
             if key.startswith(HOLDER):
                 self.claimed(key.removeprefix(HOLDER), op["data"])
             elif key.startswith(ACT):
@@ -41,6 +48,13 @@
                     if entry[2] in self.condemned and key not in self.state.data:
                         self.fault(f"a start on the condemned {entry[2]}")
 
+    @staticmethod
+    def duty_of(written: str, dropped: str) -> str:
+        """Of the holders that change the store alone."""
+        if written.startswith("past/") or dropped.startswith(("live/", "done/")):
+            return "cleanup"
+        return "reclaiming" if dropped.startswith(ROUND) else ""
+
     def claimed(self, duty: str, record: dict[str, Any]) -> None:
         held = self.state.data.get(HOLDER + duty)
         if held is not None and held[0]["token"] == record["token"]:
--- a/tests/sim/test_duties.py
+++ b/tests/sim/test_duties.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from peathall import settings
 from peathall.duties.model import ActRequest, Duty, DutyPhase, Mode
 from peathall.duties.settings import DutySettings
 from peathall.fleet.actions import CloudError, Rental
@@ -17,8 +18,8 @@
 from peathall.store.writer import Transaction, Writer
 from tests.sim.duty_history import DutyHistory
 from tests.sim.net import VirtualLoop
-from tests.sim.sites import node_settings
-from tests.sim.test_days import draw_job, virtual
+from tests.sim.sites import node_settings, node_text_with_next_limits
+from tests.sim.test_days import cut, draw_job, virtual
 from tests.sim.world import World
 
 ON = Operator(duties=DutySettings())
@@ -102,14 +103,20 @@
 
 def test_work_is_done_by_holders_beside_the_leader() -> None:
     async def day(world: World, history: DutyHistory) -> None:
+        state = world.state
         await settled(world)
         leader = world.leader()
         holders = {holder(world, duty) for duty in Duty}
-        assert leader not in holders and len(holders) == 2  # spread, the leader spared
+        # Spread, and the leader spared.
+        assert leader not in holders and len(holders) == 2
         done = [submit(world, number) for number in range(1, 6)]
         await asyncio.gather(*done)
         await until(world, lambda: not world.workers)  # idle machines were returned
         assert history.committed and history.condemned
+        # Jobs are archived, and what nothing needs is dropped, by holders as well.
+        await until(world, lambda: not any(k.startswith(("live/", "round/")) for k in state.data))
+        assert sum(key.startswith("past/") for key in state.data) == 5
+        assert min(history.written["cleanup"], history.written["reclaiming"]) >= 5
 
     play(501, day)
 
@@ -238,6 +245,68 @@
     play(560, day)
 
 
+def test_all_claim_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nobody leaves a free duty to others: one claim of each is accepted, the others end."""
+    for name in ("DUTY_LEADER_PAUSE_S", "DUTY_HELD_PAUSE_S", "CAMPAIGN_JITTER_S"):
+        monkeypatch.setattr(f"peathall.constants.{name}", 0.0)
+
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        await asyncio.sleep(1.0)
+        for duty in Duty:
+            phases = [claim(world, index, duty).phase for index in range(5)]
+            assert phases.count(DutyPhase.HOLDING) == 1
+            assert phases.count(DutyPhase.FOLLOWING) == 4
+        assert set(history.tokens.values()) == {1}
+        await submit(world, 1)
+
+    play(565, day, 5)
+
+
+@pytest.mark.parametrize("duty", [Duty.RENTING, Duty.RETURNING], ids=lambda duty: duty.value)
+def test_a_request_arrives_after_the_successor_began(duty: Duty) -> None:
+    """It left the holder, is held back on its way, and is carried out when the successor has long
+    done the same: names make it harmless."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        index = holder(world, duty)
+        assert index is not None
+        ip = f"10.0.0.{index + 1}"
+
+        def hold_back(name: str) -> None:
+            cut(world, [(ip, "10.2.0.2")], 20.0)
+            world.loop.call_later(0.5, world.freeze_node, index, 10.0)
+
+        names = stop_at(world, index, "committed", hold_back)
+        done = [submit(world, number) for number in range(1, 4)]
+        await until(world, lambda: bool(names), 120.0)
+        await asyncio.sleep(25.0)
+        assert holder(world, duty) != index
+        await asyncio.gather(*done)
+
+    play(566, day)
+
+
+@pytest.mark.parametrize("at_s", [9.0, 14.0, 20.0])
+def test_the_limits_fall_between_the_steps(at_s: float) -> None:
+    """To the smallest sizes that a site may have, as the settings say they will some day."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        world.settings = [settings.parse(node_text_with_next_limits(i)) for i in range(3)]
+        world.state.slow = 0.2
+        await settled(world)
+        done = [submit(world, number) for number in range(1, 9)]
+        await asyncio.sleep(at_s - world.loop.now)
+        world.state.value_kb, world.state.txn_ops = 2.0, 4
+        world.state.limits = (200.0, 30.0)
+        await asyncio.gather(*done)
+        await asyncio.sleep(20.0)
+        assert world.state.refused == 0
+
+    play(568, day)
+
+
 def test_an_orderly_end_hands_over_at_once() -> None:
     async def day(world: World, history: DutyHistory) -> None:
         await settled(world)
@@ -266,7 +335,7 @@
         leader = world.leader()
         assert leader is not None and not world.hires
         status = await world.nodes[leader][1].duties.status()
-        renting, returning = status.duties
+        renting, returning, *_ = status.duties
         assert (renting.holder, renting.waiting) == (None, "nobody holds the duty")
         assert returning.holder is not None
         # Any other controller says the same.
