--- a/tests/sim/duty_history.py
+++ b/tests/sim/duty_history.py
@@ -21,6 +21,7 @@
         self.acting: dict[tuple[str, int], str] = {}  # duty and token -> who acted under it
         self.committed: dict[str, dict[str, Any]] = {}  # name of a rental -> what was committed
         self.condemned: set[str] = set()
+        self.rounds: set[str] = set()  # records of rounds that were written
         self.actions = 0
         self.written: dict[str, int] = {}  # duty -> changes of the store alone
         self.state.on_accepted = self.accepted
@@ -43,9 +44,12 @@
                 self.claimed(key.removeprefix(HOLDER), op["data"])
             elif key.startswith(ACT):
                 self.acted(*key.removeprefix(ACT).split("/"), op["data"])
-            elif key.startswith(ROUND):
+            elif key.startswith(ROUND) and key not in self.rounds:
+                # Once: a late copy of the commit may bring a dropped record back, which starts
+                # nothing, and compaction writes it anew.
+                self.rounds.add(key)
                 for entry in op["data"]["a"]:
-                    if entry[2] in self.condemned and key not in self.state.data:
+                    if entry[2] in self.condemned:
                         self.fault(f"a start on the condemned {entry[2]}")
 
     @staticmethod
--- a/tests/sim/test_duties.py
+++ b/tests/sim/test_duties.py
@@ -16,10 +16,24 @@
 from peathall.fleet.actions import CloudError, Rental
 from peathall.settings import Operator
 from peathall.store.writer import Transaction, Writer
+from tests.sim import production
 from tests.sim.duty_history import DutyHistory
 from tests.sim.net import VirtualLoop
-from tests.sim.sites import node_settings, node_text_with_next_limits
-from tests.sim.test_days import cut, draw_job, virtual
+from tests.sim.sites import node_settings, node_text, node_text_with_next_limits
+from tests.sim.test_days import (
+    COPIES,
+    CRASHES,
+    CUTS,
+    FLAPS,
+    FREEZES,
+    MACHINES,
+    ONE_WAY,
+    STORE,
+    cut,
+    draw_job,
+    virtual,
+)
+from tests.sim.test_days import day as whole_day
 from tests.sim.world import World
 
 ON = Operator(duties=DutySettings())
@@ -523,3 +537,61 @@
 
         loop.run_until_complete(day())
         assert any("does not hold" in fault for fault in history.faults)
+
+
+@pytest.mark.parametrize(
+    ("seed", "kinds"),
+    [
+        (6, CRASHES + STORE + CUTS + MACHINES),
+        (14, FLAPS),
+        (16, CRASHES + STORE + CUTS + MACHINES + ONE_WAY + COPIES + FLAPS),
+        (18, [*FREEZES, "copies", "outage", "cut_worker"]),
+    ],
+)
+def test_a_day_keeps_the_rules_with_duties_on(seed: int, kinds: list[str]) -> None:
+    with virtual(seed) as loop:
+        world = new_world(loop, seed)
+        history = DutyHistory(world)
+        loop.run_until_complete(whole_day(world, kinds))
+        assert world.broken == []
+        assert history.faults == []
+        assert world.starts > 20
+
+
+def test_what_holds_if_an_older_version_is_left_in() -> None:
+    """Operators are told to upgrade all first. One that knows nothing of the mark may lead and act
+    by itself; from then on no holder's action is accepted, so there are never two that act."""
+    with virtual(630) as loop:
+        world = new_world(loop, 630)
+        history = DutyHistory(world)
+        commit = production.recorded()
+        world.make[0] = lambda wall, rng: production.node(commit, node_text(0), wall, rng)
+
+        async def day() -> None:
+            await settled_or_old(world)
+            for number in range(1, 5):
+                before = history.actions
+                for index in (1, 2):
+                    world.crash_node(index, 6.0)
+                await until(world, lambda: world.leader() == 0)
+                led = history.actions
+                assert before <= led
+                submit(world, number)
+                await asyncio.sleep(10.0)
+                assert history.actions == led  # while the older one leads
+                world.crash_node(0, 8.0)
+                await until(world, lambda: world.leader() in (1, 2))
+                submit(world, 10 + number)
+                await asyncio.sleep(10.0)
+            assert history.actions > 0
+
+        loop.run_until_complete(day())
+        assert world.broken == []
+        told = ("without an intent", "does not depend")
+        assert [f for f in history.faults if not any(word in f for word in told)] == []
+
+
+async def settled_or_old(world: World) -> None:
+    """Somebody leads."""
+    await world.begin()
+    await until(world, lambda: world.leader() is not None)
