--- /dev/null
+++ b/bench/stand_in.py
@@ -0,0 +1,182 @@
+"""Stand-ins of state service and cloud as processes of their own on loopback, for bench/freezes.py.
+
+    python3 bench/stand_in.py store PORT LOG
+    python3 bench/stand_in.py cloud PORT LOG CONTROLLER...
+
+Each writes what it accepts to LOG, a line of JSON each, with the machine's steady time. The cloud's
+machines run workers, which report to the controllers and run tasks for as long as jobs say.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import sys
+import time
+from pathlib import Path
+from typing import Any
+from urllib.parse import parse_qs
+
+import orjson
+
+from peathall.wire import body
+from peathall.wire.http import HttpClient, HttpServer, NoAnswerError, Request, Response
+from tests.sim.net import CALLER
+from tests.sim.state import State
+
+HOST = "127.0.0.1"
+REPORT_S, TASK_S, BOOT_S = 1.0, 1.0, 0.5
+MOST_MACHINES = 40
+KIND = {
+    "label": "small", "vcpus": 4, "cards": 0, "ram_gb": 32, "cache_gb": 50, "pull_gb_per_s": 2.0,
+    "rate": 1.0, "market_price": 0.3, "startup_s": 1, "wards": ["a", "b"],
+}  # fmt: skip
+
+
+class Log:
+    """Lines of what was accepted."""
+
+    def __init__(self, path: str) -> None:
+        self.path = Path(path)
+
+    def write(self, kind: str, value: dict[str, Any]) -> None:
+        line = {"at": time.monotonic(), "kind": kind, **value}
+        with self.path.open("ab") as file:
+            file.write(orjson.dumps(line) + b"\n")
+
+
+class RealLoop(asyncio.SelectorEventLoop):
+    """A loop with what the stand-in of the state service asks of the virtual one."""
+
+    rng = random.Random(1)
+
+    @property
+    def now(self) -> float:
+        return self.time()
+
+
+async def serve_store(loop: Any, port: int, log: Log) -> None:
+    CALLER.set("")
+    state = State(loop)
+    state.page = 1000
+    state.on_accepted = lambda raw: log.write("commit", raw)
+    await HttpServer(state.handle, 1000).start(HOST, port)
+    await state.expire()
+
+
+class Machine:
+    """A machine with its worker."""
+
+    def __init__(self, cloud: Cloud, name: str, zone: str, spot: bool) -> None:
+        self.cloud, self.name, self.zone, self.spot = cloud, name, zone, spot
+        self.born = time.monotonic()
+        self.tasks: dict[str, tuple[int, float]] = {}  # task -> attempt, end
+        self.task = asyncio.create_task(self.live())
+
+    async def live(self) -> None:
+        await asyncio.sleep(BOOT_S)
+        clients = [HttpClient(addr) for addr in self.cloud.controllers]
+        at = tick = token = 0
+        while True:
+            tick += 1
+            now = time.monotonic()
+            parcels = [
+                {"parcel": name, "try": attempt, "standing": "running"}
+                if now < end
+                else {"parcel": name, "try": attempt, "standing": "exited", "cause": "done"}
+                for name, (attempt, end) in self.tasks.items()
+            ]
+            report = {
+                "hall": self.name, "endpoint": "", "build": "small", "ward": self.zone,
+                "standby": self.spot, "tenure": 1, "tick": tick, "mandate": token,
+                "recall_s": None, "parcels": parcels,
+            }  # fmt: skip
+            try:
+                status, raw = await clients[at].request(
+                    "POST", "/checkin", body.cbor_bytes(report), 4.0
+                )
+                answer = body.cbor_any(raw) or {}
+            except NoAnswerError:
+                status, answer = 0, {}
+            if status == 200 and answer["mandate"] >= token:
+                token = answer["mandate"]
+                self.execute(answer["writs"])
+                await asyncio.sleep(REPORT_S)
+                continue
+            steward = answer.get("steward")
+            at = int(steward[-1]) if steward else (at + 1) % len(clients)
+            await asyncio.sleep(0.2 if steward else 0.5)
+
+    def execute(self, orders: list[dict[str, Any]]) -> None:
+        for order in orders:
+            name = order["parcel"]
+            if order["writ"] == "start":
+                started = {"machine": self.name, "task": name, "attempt": order["try"]}
+                if name not in self.tasks:
+                    self.cloud.log.write("start", started)
+                self.tasks.setdefault(name, (order["try"], time.monotonic() + TASK_S))
+            else:
+                self.tasks.pop(name, None)
+
+
+class Cloud:
+    """Rents machines, and logs what it carries out."""
+
+    def __init__(self, log: Log, controllers: list[str]) -> None:
+        self.log, self.controllers = log, controllers
+        self.machines: dict[str, Machine] = {}
+        self.answers: dict[str, list[str]] = {}
+        self.made = 0
+
+    async def handle(self, request: Request) -> Response:
+        if request.path == "/machine_types":
+            return body.cbor_response(200, {"builds": [KIND]})
+        if request.method == "GET":
+            query = {k: v[0] for k, v in parse_qs(request.query).items()}
+            listed = [
+                {"id": m.name, "endpoint": "", "build": "small", "ward": m.zone,
+                 "standby": m.spot, "standing": "running", "held_s": time.monotonic() - m.born}
+                for m in self.machines.values() if m.name > query.get("after", "")
+            ]  # fmt: skip
+            return body.cbor_response(200, {"halls": listed[:500], "more": len(listed) > 500})
+        raw = body.cbor_map(request.body)
+        if request.path == "/hosts/delete":
+            self.log.write("delete", {"machines": raw["halls"]})
+            for name in raw["halls"]:
+                machine = self.machines.pop(name, None)
+                if machine is not None:
+                    machine.task.cancel()
+            return body.cbor_response(200, {})
+        return self.rent(raw)
+
+    def rent(self, raw: dict[str, Any]) -> Response:
+        if raw["hire"] not in self.answers:
+            count = min(raw["how_many"], MOST_MACHINES - len(self.machines))
+            if count <= 0:
+                return body.cbor_response(503, {"error": "no capacity"})
+            names = []
+            for _ in range(count):
+                self.made += 1
+                name = f"m-{self.made:06d}"
+                self.machines[name] = Machine(self, name, raw["ward"], raw["standby"])
+                names.append(name)
+            self.answers[raw["hire"]] = names
+        answer = {"request": raw["hire"], "machines": self.answers[raw["hire"]]}
+        self.log.write("rent", answer)
+        return body.cbor_response(200, {"halls": answer["machines"]})
+
+
+async def main(words: list[str]) -> None:
+    role, port, log = words[0], int(words[1]), Log(words[2])
+    if role == "store":
+        await serve_store(asyncio.get_running_loop(), port, log)
+    await HttpServer(Cloud(log, words[3:]).handle, 1000).start(HOST, port)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    loop = RealLoop()
+    asyncio.set_event_loop(loop)
+    with contextlib.suppress(KeyboardInterrupt):
+        loop.run_until_complete(main(sys.argv[1:]))
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -181,6 +181,7 @@
 DUTY_HANDOVERS_KEPT = 5  # claims in the record of the token, for operators
 DUTY_RESULTS_KEPT = 1000  # answers that a holder gives again, some 1 KiB each at most
 DUTY_ACTS_MOST = 200  # unfinished actions of a duty: 10,000 rentals, or 20,000 deletions
+DUTY_WAITING_S = 10.0  # s; what waits is tried every second: an older reason is none any more
 DUTY_WAIT_S = 3.0  # s; a holder answers by then, with what it knows
 DUTY_ASK_S = 4.0  # s; the leader waits a little longer than that
 DUTY_ASKS_AT_ONCE = 16  # requests of a leader to one holder: each takes a socket of both
--- a/peathall/duties/delegate.py
+++ b/peathall/duties/delegate.py
@@ -16,6 +16,31 @@
 Ask = Callable[[HolderRecord, ActRequest], Awaitable[ActAnswer]]
 
 
+class WaitingReasons:
+    """Why work waits, by duty, as it was last found out."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._found: dict[Duty, tuple[str, float]] = {}
+
+    def note(self, duty: Duty, why: str) -> None:
+        """It waits, and this is why."""
+        self._found[duty] = (why, self._loop.time())
+
+    def clear(self, duty: Duty) -> None:
+        """It waits no longer."""
+        self._found.pop(duty, None)
+
+    def lately(self) -> dict[str, str]:
+        """Reasons that were found out lately: what waits is tried again every second."""
+        now = self._loop.time()
+        return {
+            duty.value: why
+            for duty, (why, at) in self._found.items()
+            if now - at < constants.DUTY_WAITING_S
+        }
+
+
 class DelegatedCloud:
     """Rents and deletes by way of the holders; what has no holder waits."""
 
@@ -30,7 +55,7 @@
         self.lead_version = lead_version
         self.holder = holder
         self.ask = ask
-        self.waiting: dict[Duty, str] = {}  # why work waits
+        self.waiting = WaitingReasons()
         self._number = 0
         self._deletion: Deletion | None = None  # without an answer yet
         self._turn = asyncio.Semaphore(constants.DUTY_ASKS_AT_ONCE)
@@ -67,7 +92,7 @@
     def _holder(self, duty: Duty) -> HolderRecord:
         holder = self.holder(duty)
         if holder is None:
-            self.waiting[duty] = "nobody holds the duty"
+            self.waiting.note(duty, "nobody holds the duty")
             raise CloudError(f"{duty.value} waits: nobody holds the duty", sent=False)
         return holder
 
@@ -75,9 +100,9 @@
         async with self._turn:
             answer = await self.ask(holder, request)
         if answer.outcome in (Outcome.DONE, Outcome.NO_CAPACITY):
-            self.waiting.pop(request.duty, None)
+            self.waiting.clear(request.duty)
             return answer
-        self.waiting[request.duty] = f"{holder.member}: {answer.why}"
+        self.waiting.note(request.duty, f"{holder.member}: {answer.why}")
         # What was refused was perhaps committed when it was asked for before.
         sent = answer.outcome is Outcome.PENDING
         raise CloudError(f"{request.duty.value} waits for {holder.member}: {answer.why}", sent)
--- a/peathall/duties/service.py
+++ b/peathall/duties/service.py
@@ -214,7 +214,7 @@
         """Why work waits, by duty, as far as we lead."""
         if self.delegated is None or not self.leads():
             return {}
-        return {duty.value: why for duty, why in self.delegated.cloud.waiting.items()}
+        return self.delegated.cloud.waiting.lately()
 
     async def _ask_waiting(self, leader: str) -> dict[str, str]:
         try:
--- a/peathall/duties/writes.py
+++ b/peathall/duties/writes.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from peathall import constants
-from peathall.duties.delegate import Ask
+from peathall.duties.delegate import Ask, WaitingReasons
 from peathall.duties.model import (
     ActAnswer,
     ActRequest,
@@ -40,7 +40,7 @@
         may_act: Callable[[], bool],
         holder: Callable[[Duty], HolderRecord | None],
         ask: Ask,
-        waiting: dict[Duty, str],
+        waiting: WaitingReasons,
     ) -> None:
         self.duty = duty
         self.term = term
@@ -48,7 +48,7 @@
         self.may_act = may_act
         self.holder = holder
         self.ask = ask
-        self.waiting = waiting  # why work waits, by duty
+        self.waiting = waiting
         self.direct = False  # the leader writes by itself again
         self._offered: dict[str, Callable[[], Change | None]] = {}
         self._again: list[Change] = []  # made, and to be written with the next batch
@@ -121,7 +121,7 @@
                 return
             answer = await self._ask(request)
             if answer.outcome is Outcome.DONE:
-                self.waiting.pop(self.duty, None)
+                self.waiting.clear(self.duty)
                 self.writer.applied(batch, answer.revision)
                 return
             doubt = doubt or answer.outcome is Outcome.PENDING
@@ -136,7 +136,7 @@
                     return
                 # Our record was written anew as a fence; or we are replaced, and the term ends.
                 request = self._request(batch)
-            self.waiting[self.duty] = answer.why
+            self.waiting.note(self.duty, answer.why)
             await asyncio.sleep(constants.STORE_RETRY_S if doubt else constants.TICK_S)
 
     async def _ask(self, request: ActRequest) -> ActAnswer:
