--- a/bench/freezes.py
+++ b/bench/freezes.py
@@ -27,10 +27,10 @@
 
 from peathall.wire import body
 from peathall.wire.http import HttpClient, NoAnswerError
+from tests.sim.duty_history import DutyJudge
 
 ROOT = Path(__file__).resolve().parents[1]
 SIZE = 5
-DUTIES = ("renting", "returning", "reclaiming", "cleanup")
 OPERATOR = "idle_hold_s: 0.5\nduties { lease_s: 2 }\n"
 SETTINGS = """
 member = "hall-{i}"
@@ -190,70 +190,29 @@
     return [orjson.loads(line) for line in path.read_bytes().splitlines()]
 
 
-class Judge:
-    """Follows what both stand-ins accepted, in order."""
+class Judge(DutyJudge):
+    """Of the logs of both stand-ins, in order; counts how long duties were vacant."""
 
     def __init__(self) -> None:
-        self.faults: list[str] = []
-        self.holder: dict[str, dict[str, Any]] = {}
-        self.highest: dict[str, int] = {}
-        self.open: dict[str, dict[str, Any]] = {}
-        self.rentals: dict[str, Any] = {}
-        self.answers: dict[str, Any] = {}
-        self.condemned: set[str] = set()
-        self.handovers = HdrHistogram(1, 600_000, 3)  # milliseconds
-        self.actions = self.changes = self.duty_changes = 0
+        super().__init__()
+        self.vacant = HdrHistogram(1, 600_000, 3)  # milliseconds
+        self.duty_changes = 0
 
     def follow(self, line: dict[str, Any]) -> None:
         if line["kind"] == "commit":
+            keys = [op.get("write") or op["drop"] for op in line["apply"]]
+            self.duty_changes += sum(key.startswith(("duties/", "duty-act/")) for key in keys)
             self.commit(line)
-        elif line["kind"] == "delete" and not set(line["machines"]) <= self.condemned:
-            self.faults.append(f"deletion without an intent: {line['machines'][:3]}")
+        elif line["kind"] == "delete":
+            self.deleted(line["machines"])
         elif line["kind"] == "rent":
-            if line["request"] not in self.rentals:
-                self.faults.append(f"rental without an intent: {line['request']}")
-            before = self.answers.setdefault(line["request"], line["machines"])
-            if before != line["machines"]:
-                self.faults.append(f"two answers to {line['request']}")
-
-    def commit(self, line: dict[str, Any]) -> None:
-        depends = {condition["k"] for condition in line["when"]}
-        for op in line["apply"]:
-            key = op.get("write") or op["drop"]
-            self.changes += 1
-            self.duty_changes += key.startswith(("duties/", "duty-act/"))
-            if key.startswith("duties/holder/") and "write" in op:
-                self.claimed(key.removeprefix("duties/holder/"), op["data"])
-            elif key.startswith("duty-act/") and "write" in op:
-                self.acted(key, op["data"], depends)
-            elif key.startswith("duty-act/"):
-                self.open.pop(key, None)
+            self.rented(line["request"], line["machines"])
 
     def claimed(self, duty: str, record: dict[str, Any]) -> None:
-        before = self.holder.get(duty)
-        self.holder[duty] = record
-        if before is not None and before["token"] == record["token"]:
-            return
-        if record["token"] <= self.highest.get(duty, 0):
-            self.faults.append(f"token {record['token']} of {duty} given twice")
-        if before is not None:
-            self.handovers.record_value(max(1, int(1000 * record["vacant_s"])))
-        self.highest[duty] = record["token"]
-
-    def acted(self, key: str, record: dict[str, Any], depends: set[str]) -> None:
-        duty = key.split("/")[1]
-        self.actions += 1
-        if record["token"] != self.highest.get(duty):
-            self.faults.append(f"{key} under token {record['token']}, not {self.highest[duty]}")
-        if not {f"duties/holder/{duty}", "lead"} <= depends:
-            self.faults.append(f"{key} depends on {sorted(depends)}")
-        self.open[key] = record
-        if record.get("rental"):
-            name = record["rental"]["request"]
-            if self.rentals.setdefault(name, record["rental"]) != record["rental"]:
-                self.faults.append(f"rental {name} means two things")
-        if record.get("deletion"):
-            self.condemned |= set(record["deletion"]["machines"])
+        before = self.holders.get(duty)
+        super().claimed(duty, record)
+        if before is not None and before != record:
+            self.vacant.record_value(max(1, int(1000 * record["vacant_s"])))
 
 
 def main() -> None:
@@ -274,13 +233,13 @@
     )
     for line in lines:
         judge.follow(line)
-    times = [judge.handovers.get_value_at_percentile(p) / 1000 for p in (50, 90, 99, 100)]
+    times = [judge.vacant.get_value_at_percentile(p) / 1000 for p in (50, 90, 99, 100)]
     seconds = time.monotonic() - began
     freezes = args.freezes - kills
     told = [
         f"seed {args.seed}: {freezes} freezes, {kills} kills in {seconds:.0f} s",
         f"{done} of {jobs} jobs done",
-        f"{judge.actions} intents, {sum(judge.highest.values())} claims",
+        f"{judge.actions} intents, {judge.claims} claims",
         f"vacant until claimed p50 {times[0]:.2f} p90 {times[1]:.2f} p99 {times[2]:.2f} longest "
         f"{times[3]:.2f} s",
         f"{judge.duty_changes} of {judge.changes} changes are of duties",
--- a/tests/sim/duty_history.py
+++ b/tests/sim/duty_history.py
@@ -7,97 +7,154 @@
 from tests.sim.net import CALLER
 from tests.sim.world import World
 
-HOLDER, ACT, ROUND = "duties/holder/", "duty-act/", "round/"
+HOLDER, ACT, ROUND, MARK = "duties/holder/", "duty-act/", "round/", "duties/on"
 
 
-class DutyHistory:
+class DutyJudge:
     """Follows every accepted commit and every request that the cloud carries out."""
 
-    def __init__(self, world: World) -> None:
-        self.world = world
-        self.state = world.state
+    def __init__(self) -> None:
         self.faults: list[str] = []
-        self.tokens: dict[str, int] = {}  # duty -> the highest that was given
+        self.on = False
+        self.term = 0  # of the latest leader
+        self.holders: dict[str, dict[str, Any]] = {}  # duty -> its latest holder
         self.acting: dict[tuple[str, int], str] = {}  # duty and token -> who acted under it
-        self.committed: dict[str, dict[str, Any]] = {}  # name of a rental -> what was committed
+        self.rentals: dict[str, dict[str, Any]] = {}  # by name, as committed
+        self.answers: dict[str, list[str]] = {}  # of the cloud, by name
         self.condemned: set[str] = set()
         self.rounds: set[str] = set()  # records of rounds that were written
-        self.actions = 0
         self.written: dict[str, int] = {}  # duty -> changes of the store alone
-        self.state.on_accepted = self.accepted
-        world.on_cloud = self.at_cloud
+        self.open: dict[str, dict[str, Any]] = {}  # actions not known to be finished
+        self.actions = self.claims = self.changes = 0
 
     def fault(self, what: str) -> None:
-        self.faults.append(f"{self.state.loop.now:.2f} {what}")
+        self.faults.append(what)
 
-    def accepted(self, raw: dict[str, Any]) -> None:
+    def holds(self, duty: str, token: int) -> bool:
+        """Whether this is the highest token that was given."""
+        return duty in self.holders and self.holders[duty]["token"] == token
+
+    def commit(self, raw: dict[str, Any], caller: str = "") -> None:
         depends = {condition["k"] for condition in raw["when"]}
-        on = "duties/on" in self.state.data
         for op in raw["apply"]:
-            key = op.get("write", "")
-            duty = self.duty_of(key, op.get("drop", ""))
-            if on and duty:
-                self.written[duty] = self.written.get(duty, 0) + 1
-                if not {HOLDER + duty, "lead"} <= depends:
-                    self.fault(f"{op} does not depend on the holder of {duty} and the leader")
-            if key.startswith(HOLDER):
-                self.claimed(key.removeprefix(HOLDER), op["data"])
-            elif key.startswith(ACT):
-                self.acted(*key.removeprefix(ACT).split("/"), op["data"])
-            elif key.startswith(ROUND) and key not in self.rounds:
-                # Once: a late copy of the commit may bring a dropped record back, which starts
-                # nothing, and compaction writes it anew.
-                self.rounds.add(key)
-                for entry in op["data"]["a"]:
-                    if entry[2] in self.condemned:
-                        self.fault(f"a start on the condemned {entry[2]}")
-
-    @staticmethod
-    def duty_of(written: str, dropped: str) -> str:
-        """Of the holders that change the store alone."""
-        if written.startswith("past/") or dropped.startswith(("live/", "done/")):
-            return "cleanup"
-        return "reclaiming" if dropped.startswith(ROUND) else ""
+            self.changes += 1
+            if "drop" in op:
+                self.dropped(op["drop"], depends)
+            else:
+                self.wrote(op["write"], op["data"], depends, caller)
+
+    def wrote(self, key: str, data: Any, depends: set[str], caller: str) -> None:
+        if key == "lead":
+            self.term = data["term"]
+        elif key == MARK:
+            self.on = True
+        elif key.startswith(HOLDER):
+            self.claimed(key.removeprefix(HOLDER), data)
+        elif key.startswith(ACT):
+            self.acted(*key.removeprefix(ACT).split("/"), data, depends, caller)
+        elif key.startswith("past/"):
+            self.changed_store("cleanup", key, depends)
+        elif key.startswith(ROUND) and key not in self.rounds:
+            # Once: a late copy of the commit may bring a dropped record back, which starts
+            # nothing, and compaction writes it anew.
+            self.rounds.add(key)
+            for entry in data["a"]:
+                if entry[2] in self.condemned:
+                    self.fault(f"a start on the condemned {entry[2]}")
+
+    def dropped(self, key: str, depends: set[str]) -> None:
+        self.open.pop(key, None)
+        if key == MARK:
+            self.on = False
+        elif key.startswith(("live/", "done/")):
+            self.changed_store("cleanup", key, depends)
+        elif key.startswith(ROUND):
+            self.changed_store("reclaiming", key, depends)
+
+    def changed_store(self, duty: str, key: str, depends: set[str]) -> None:
+        if self.on:
+            self.written[duty] = self.written.get(duty, 0) + 1
+            self.depends(duty, key, depends)
+
+    def depends(self, duty: str, key: str, depends: set[str]) -> None:
+        if not {HOLDER + duty, "lead"} <= depends:
+            self.fault(f"{key} does not depend on the holder of {duty} and the leader")
 
     def claimed(self, duty: str, record: dict[str, Any]) -> None:
-        held = self.state.data.get(HOLDER + duty)
-        if held is not None and held[0]["token"] == record["token"]:
+        before = self.holders.get(duty)
+        self.holders[duty] = record
+        if before == record:
             return  # written anew by its holder, as a fence
-        if held is not None:
-            self.fault(f"{duty} claimed while it is held")
-        if record["token"] <= self.tokens.get(duty, 0):
+        self.claims += 1
+        if before is not None and record["token"] <= before["token"]:
             self.fault(f"token {record['token']} of {duty} was given before")
-        self.tokens[duty] = record["token"]
 
-    def acted(self, duty: str, name: str, record: dict[str, Any]) -> None:
+    def acted(
+        self, duty: str, name: str, record: dict[str, Any], depends: set[str], caller: str
+    ) -> None:
         self.actions += 1
-        token = record["token"]
-        held = self.state.data.get(HOLDER + duty)
-        if held is None or held[0]["token"] != token:
-            self.fault(f"{name} accepted under token {token}, which does not hold {duty}")
-        if token < self.tokens.get(duty, 0):
-            self.fault(f"{name} accepted under token {token} after a higher one")
-        caller = CALLER.get("")
-        if self.acting.setdefault((duty, token), caller) != caller:
-            self.fault(f"two holders acted under token {token} of {duty}")
-        lead = self.state.data.get("lead")
-        if lead is None or lead[0]["term"] != record["term"]:
+        self.open[f"{ACT}{duty}/{name}"] = record
+        self.depends(duty, name, depends)
+        if not self.holds(duty, record["token"]):
+            self.fault(f"{name} under token {record['token']}, which does not hold {duty}")
+        if self.acting.setdefault((duty, record["token"]), caller) != caller:
+            self.fault(f"two holders acted under token {record['token']} of {duty}")
+        if record["term"] != self.term:
             self.fault(f"{name} accepted for the replaced leader of term {record['term']}")
-        if record.get("rental"):
-            before = self.committed.setdefault(name, record["rental"])
-            if before != record["rental"]:
-                self.fault(f"rental {name} means two things")
+        if (
+            record.get("rental")
+            and self.rentals.setdefault(name, record["rental"]) != (record["rental"])
+        ):
+            self.fault(f"rental {name} means two things")
         if record.get("deletion"):
             self.condemned |= set(record["deletion"]["machines"])
 
+    def deleted(self, machines: list[str]) -> None:
+        """The cloud carries a deletion out."""
+        if not set(machines) <= self.condemned:
+            self.fault(f"deletion of {set(machines) - self.condemned} without an intent")
+
+    def rented(self, name: str, machines: list[str] | None) -> None:
+        """The cloud carries a rental out, and answers so, if that is known by then."""
+        if name not in self.rentals:
+            self.fault(f"rental {name} without an intent")
+        if machines is not None and self.answers.setdefault(name, machines) != machines:
+            self.fault(f"two answers to rental {name}")
+
+
+class DutyHistory(DutyJudge):
+    """The judge of a day on the virtual clock."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__()
+        self.world = world
+        self.state = world.state
+        self.state.on_accepted = lambda raw: self.commit(raw, CALLER.get(""))
+        world.on_cloud = self.at_cloud
+
+    def fault(self, what: str) -> None:
+        super().fault(f"{self.state.loop.now:.2f} {what}")
+
+    def holds(self, duty: str, token: int) -> bool:
+        """Also the lease must live."""
+        return HOLDER + duty in self.state.data and super().holds(duty, token)
+
+    def claimed(self, duty: str, record: dict[str, Any]) -> None:
+        held = self.state.data.get(HOLDER + duty)
+        if held is not None and held[0] != record:
+            self.fault(f"{duty} claimed while it is held")
+        super().claimed(duty, record)
+
     def at_cloud(self, path: str, raw: dict[str, Any]) -> None:
-        """Nothing is carried out that was not committed before."""
         if path == "/hosts/delete":
-            if not set(raw["halls"]) <= self.condemned:
-                self.fault(f"deletion of {set(raw['halls']) - self.condemned} without an intent")
-        elif raw["hire"] not in self.committed:
-            self.fault(f"rental {raw['hire']} without an intent")
+            self.deleted(raw["halls"])
+        else:
+            self.rented(raw["hire"], self.world.hires.get(raw["hire"]))
+
+    def token(self, duty: str) -> int:
+        """The highest that was given."""
+        return int(self.holders[duty]["token"]) if duty in self.holders else 0
 
     def unfinished(self) -> list[str]:
-        """Actions that were committed and are not known to be finished."""
+        """Actions that the state service holds as not finished."""
         return [key for key in self.state.data if key.startswith(ACT)]
--- a/tests/sim/test_duties.py
+++ b/tests/sim/test_duties.py
@@ -126,7 +126,7 @@
         done = [submit(world, number) for number in range(1, 6)]
         await asyncio.gather(*done)
         await until(world, lambda: not world.workers)  # idle machines were returned
-        assert history.committed and history.condemned
+        assert history.rentals and history.condemned
         # Jobs are archived, and what nothing needs is dropped, by holders as well.
         await until(world, lambda: not any(k.startswith(("live/", "round/")) for k in state.data))
         assert sum(key.startswith("past/") for key in state.data) == 5
@@ -151,7 +151,7 @@
         await until(world, lambda: bool(names), 120.0)
         await asyncio.sleep(pause_s + 2.0)
         if pause_s > 6.0:
-            assert history.tokens[duty.value] > 1
+            assert history.token(duty.value) > 1
         await asyncio.gather(*done)
 
     play(510, day)
@@ -229,7 +229,7 @@
         await settled(world)
         index = holder(world, Duty.RENTING)
         assert index is not None
-        before = history.tokens["renting"]
+        before = history.token("renting")
         if everywhere:
             world.state.outage(12.0)
         else:
@@ -239,7 +239,7 @@
         done = [submit(world, number) for number in range(1, 4)]
         await asyncio.gather(*done)
         # After an outage every lease has its full time again; refused alone, it lost its own.
-        assert (history.tokens["renting"] == before) is everywhere
+        assert (history.token("renting") == before) is everywhere
 
     play(550, day)
 
@@ -271,7 +271,7 @@
             phases = [claim(world, index, duty).phase for index in range(5)]
             assert phases.count(DutyPhase.HOLDING) == 1
             assert phases.count(DutyPhase.FOLLOWING) == 4
-        assert set(history.tokens.values()) == {1}
+        assert {history.token(duty.value) for duty in Duty} == {1}
         await submit(world, 1)
 
     play(565, day, 5)
@@ -482,7 +482,7 @@
             await asyncio.sleep(rng.uniform(0.0, 0.6))
         world.troubled_until = world.loop.now
         await asyncio.gather(*jobs)
-        assert history.tokens["renting"] + history.tokens["returning"] > 20
+        assert history.token("renting") + history.token("returning") > 20
         assert history.actions > 20
 
     with virtual(620) as loop:
