--- a/bench/cost.py
+++ b/bench/cost.py
@@ -91,7 +91,10 @@
 
 
 if __name__ == "__main__":
-    for size in ((48, 80, 30), (456, 120, 100), (645, 140, 25), (970, 210, 25), (900, 400, 150)):
+    for size in (
+        (48, 80, 30), (456, 120, 100), (645, 140, 25), (970, 210, 25), (900, 400, 150),
+        (2000, 420, 25), (4000, 840, 25),
+    ):  # fmt: skip
         asyncio.run(measure(*size))
     for size in ((456, 300, 150), (970, 210, 25), (900, 400, 150)):
         asyncio.run(measure(*size, aged=True))
