--- a/peathall/duties/executor.py
+++ b/peathall/duties/executor.py
@@ -120,6 +120,8 @@
             if not isinstance(error, DeposedError):
                 log.error("%s %s failed", self.duty.value, name, exc_info=error)
             return
+        if done.result().outcome is Outcome.REFUSED:
+            return  # nothing was committed: asked for again, it may be
         self.results[name] = done.result()
         if len(self.results) > constants.DUTY_RESULTS_KEPT:
             self.results.popitem(last=False)
--- a/tests/sim/test_duties.py
+++ b/tests/sim/test_duties.py
@@ -11,7 +11,7 @@
 import pytest
 
 from peathall import settings
-from peathall.duties.model import ActRequest, Duty, DutyPhase, Mode
+from peathall.duties.model import ActAnswer, ActRequest, Deletion, Duty, DutyPhase, Mode, Outcome
 from peathall.duties.settings import DutySettings
 from peathall.fleet.actions import CloudError, Rental
 from peathall.settings import Operator
@@ -259,6 +259,34 @@
     play(560, day)
 
 
+def test_what_was_refused_may_be_asked_for_again() -> None:
+    """The leader's record is written anew as a fence, after it was read for the order: refused
+    under its name once, a deletion was refused for the rest of the term."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        index = holder(world, Duty.RETURNING)
+        assert index is not None
+        host, node = world.nodes[index]
+        lead, version, _ = world.state.data["lead"]
+        token = history.token("returning")
+
+        async def ask(lead_version: int) -> ActAnswer:
+            order = ActRequest(
+                Duty.RETURNING, token, lead["term"], lead_version, deletion=Deletion("d-1", ["m-9"])
+            )
+            work = node.duties.perform(order)
+            answer: ActAnswer = await world.loop.create_task(work, context=world.context(host))
+            return answer
+
+        assert (await ask(version - 1)).outcome is Outcome.REFUSED
+        assert (await ask(version)).outcome is Outcome.DONE
+        assert (await ask(version - 1)).outcome is Outcome.DONE  # told again, not done again
+        assert history.actions == 1
+
+    play(567, day)
+
+
 def test_all_claim_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
     """Nobody leaves a free duty to others: one claim of each is accepted, the others end."""
     for name in ("DUTY_LEADER_PAUSE_S", "DUTY_HELD_PAUSE_S", "CAMPAIGN_JITTER_S"):
