--- a/bench/freezes.py
+++ b/bench/freezes.py
@@ -219,6 +219,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--freezes", type=int, default=1000)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--keep", action="store_true", help="the logs, to read them")
     args = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix="freezes-"))
     site = Site(folder)
@@ -246,7 +247,10 @@
         f"unfinished {len(judge.open)}, faults {len(judge.faults)} {judge.faults[:3]}",
     ]
     print("; ".join(told))
-    shutil.rmtree(folder, ignore_errors=True)
+    if args.keep:
+        print(f"logs in {folder}")
+    else:
+        shutil.rmtree(folder, ignore_errors=True)
     sys.exit(bool(judge.faults or judge.open or done < jobs))
 
 
