--- a/bench/stand_in.py
+++ b/bench/stand_in.py
@@ -78,7 +78,9 @@
         await asyncio.sleep(BOOT_S)
         clients = [HttpClient(addr) for addr in self.cloud.controllers]
         at = tick = token = 0
-        while True:
+        # Cancelling alone does not end it for sure: asyncio.wait_for of Python 3.11 loses a
+        # cancellation that comes together with its result.
+        while self.name in self.cloud.machines:
             tick += 1
             now = time.monotonic()
             parcels = [
@@ -99,6 +101,8 @@
                 answer = body.cbor_any(raw) or {}
             except NoAnswerError:
                 status, answer = 0, {}
+            if self.name not in self.cloud.machines:
+                return
             if status == 200 and answer["mandate"] >= token:
                 token = answer["mandate"]
                 self.execute(answer["writs"])
