--- a/bench/larger.py
+++ b/bench/larger.py
@@ -1,62 +1,87 @@
-"""A day of a site file with more machines and load, to be played with `--small`.
+"""A day with thousands of machines on the virtual clock, against the stand-ins of the tests.
 
-    python3 bench/larger.py SITE.toml DAY 1.5 > larger.toml
-    fleetbench run SITE.toml larger.toml --small
+    PYTHONPATH=.:target/deps python3 bench/larger.py --machines 4000 [--share 0.18]
 
-DAY is a day of the site, or a TOML file that holds one.
-The bench plays a day that has a `small` table at the size given there, which may also be larger.
+The machines are rented and filled, then the leader ends, then a fifth of the machines stops.
+Prints a line of figures. With `--share` each controller has that part of a core, by this
+machine's measure: what it does takes it so much longer. Without it nothing is charged.
 """
 
 from __future__ import annotations
 
+import argparse
+import gc
+import logging
 import sys
-import tomllib
-from pathlib import Path
+import time
+import types
 from typing import Any
 
-from toml_text import inline
-
-
-def larger(site: dict[str, Any], name: str, factor: float) -> dict[str, Any]:
-    days = [tomllib.loads(Path(name).read_text())["day"][0]] if "." in name else site["day"]
-    day: dict[str, Any] = next(d for d in days if "." in name or d["name"] == name)
-
-    def scaled(table: dict[str, Any], *keys: str) -> dict[str, Any]:
-        return {k: round(v * factor) if k in keys else v for k, v in table.items()}
-
-    jobs = [
-        {
-            "name": job["name"],
-            "arrivals": job["arrivals"] | {"rate": job["arrivals"]["rate"] * factor},
-            "initial": round(job.get("initial", 0) * factor),
-        }
-        for job in site["jobs"]
-    ]
-    teams = [
-        {k: v * factor if isinstance(v, float) and k != "weight" else v for k, v in team.items()}
-        for team in site["teams"]
-    ]
-    small = {
-        "capacity": [scaled(x, "count", "spot") for x in site["capacity"]],
-        "machines": [scaled(x, "count") for x in site["machines"]],
-        "teams": [{k: v for k, v in team.items() if k != "weight"} for team in teams],
-        "jobs": jobs,
-    }
-    faults = [
-        scaled(fault, "count") if fault["kind"].startswith("machine_") else fault
-        for fault in day.get("faults", [])
-    ]
-    return {k: v for k, v in day.items() if k != "aims"} | {"faults": faults, "small": small}
-
-
-def main() -> None:
-    path, name, factor = sys.argv[1:]
-    with open(path, "rb") as handle:
-        day = larger(tomllib.load(handle), name, float(factor))
-    print("[[day]]")
-    for key, value in day.items():
-        print(f"{key} = {inline(value)}")
+from tests.sim.fleet_day import FleetPlayer
+from tests.sim.net import Host, MemoryTransport, VirtualLoop
+from tests.sim.test_days import virtual
+from tests.sim.world import World
+
+STEADY_S = 15.0
+LIMIT_S = 240.0  # s; a step that takes longer has failed
+APART = (VirtualLoop, World, Host, MemoryTransport, type, types.ModuleType, types.FunctionType)
+
+
+def kept_bytes(root: Any) -> int:
+    """Bytes of all objects that hang on this one, but for the simulation and for code."""
+    seen: set[int] = set()
+    waiting, total = [root], 0
+    while waiting:
+        found = waiting.pop()
+        if id(found) in seen or isinstance(found, APART):
+            continue
+        seen.add(id(found))
+        total += sys.getsizeof(found)
+        waiting += gc.get_referents(found)
+    return total
+
+
+def play(machines: int, share: float) -> None:
+    began = time.monotonic()
+    with virtual(21) as loop:
+        player = FleetPlayer(loop, machines, share)
+
+        async def day() -> int:
+            await player.rent(LIMIT_S)
+            if player.leader() is None:
+                return 0
+            await player.steady(STEADY_S)
+            leader = player.leader()
+            kept = kept_bytes(leader.cluster) + kept_bytes(leader.workers.exits) if leader else 0
+            if leader is not None:
+                await player.take_over(LIMIT_S)
+            if player.leader() is not None:
+                await player.lose(LIMIT_S)
+            return kept
+
+        kept = loop.run_until_complete(day())
+    figures = player.finish()
+    print(
+        f"{machines} machines, share {share or 1.0:g}: rented and filled after "
+        f"{figures.rented_s:.0f} s, steady {figures.steady_share:.3f} of a core, "
+        f"kept {kept / 2**20:.1f} MB, all heard {figures.takeover_s:.1f} s after the leader's end, "
+        f"{figures.deleted_alive} alive deleted, lost fifth replaced after "
+        f"{figures.replaced_s:.0f} s, longest check-in {figures.checkin_s:.2f} s, answers "
+        f"{figures.checkins}, cloud refused {figures.cloud_refused}, broken {figures.broken[:3]} "
+        f"({time.monotonic() - began:.0f} s of this machine)",
+        flush=True,
+    )
 
 
 if __name__ == "__main__":
-    main()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--machines", type=int, nargs="+", default=[500, 1000, 2000, 4000])
+    parser.add_argument("--share", type=float, default=0.0)
+    parser.add_argument("--log", action="store_true")
+    args = parser.parse_args()
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    if args.log:
+        logging.basicConfig(level=logging.INFO)
+        logging.getLogger("peathall").setLevel(logging.INFO)
+    for size in args.machines:
+        play(size, args.share)
--- /dev/null
+++ b/bench/scaled_day.py
@@ -0,0 +1,62 @@
+"""A day of a site file with more machines and load, to be played with `--small`.
+
+    python3 bench/scaled_day.py SITE.toml DAY 1.5 > larger.toml
+    fleetbench run SITE.toml larger.toml --small
+
+DAY is a day of the site, or a TOML file that holds one.
+The bench plays a day that has a `small` table at the size given there, which may also be larger.
+"""
+
+from __future__ import annotations
+
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from toml_text import inline
+
+
+def larger(site: dict[str, Any], name: str, factor: float) -> dict[str, Any]:
+    days = [tomllib.loads(Path(name).read_text())["day"][0]] if "." in name else site["day"]
+    day: dict[str, Any] = next(d for d in days if "." in name or d["name"] == name)
+
+    def scaled(table: dict[str, Any], *keys: str) -> dict[str, Any]:
+        return {k: round(v * factor) if k in keys else v for k, v in table.items()}
+
+    jobs = [
+        {
+            "name": job["name"],
+            "arrivals": job["arrivals"] | {"rate": job["arrivals"]["rate"] * factor},
+            "initial": round(job.get("initial", 0) * factor),
+        }
+        for job in site["jobs"]
+    ]
+    teams = [
+        {k: v * factor if isinstance(v, float) and k != "weight" else v for k, v in team.items()}
+        for team in site["teams"]
+    ]
+    small = {
+        "capacity": [scaled(x, "count", "spot") for x in site["capacity"]],
+        "machines": [scaled(x, "count") for x in site["machines"]],
+        "teams": [{k: v for k, v in team.items() if k != "weight"} for team in teams],
+        "jobs": jobs,
+    }
+    faults = [
+        scaled(fault, "count") if fault["kind"].startswith("machine_") else fault
+        for fault in day.get("faults", [])
+    ]
+    return {k: v for k, v in day.items() if k != "aims"} | {"faults": faults, "small": small}
+
+
+def main() -> None:
+    path, name, factor = sys.argv[1:]
+    with open(path, "rb") as handle:
+        day = larger(tomllib.load(handle), name, float(factor))
+    print("[[day]]")
+    for key, value in day.items():
+        print(f"{key} = {inline(value)}")
+
+
+if __name__ == "__main__":
+    main()
--- a/peathall/cli.py
+++ b/peathall/cli.py
@@ -6,9 +6,13 @@
 import logging
 import os
 import sys
+from typing import TYPE_CHECKING
 
 from peathall import __version__, settings
 
+if TYPE_CHECKING:
+    from peathall.node import Node
+
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
@@ -28,9 +32,28 @@
     return parser
 
 
+async def serve(node: Node) -> None:
+    """Run the controller; told to end, it first gives up in order what it holds."""
+    import asyncio
+    import signal
+
+    running = asyncio.ensure_future(node.run())
+    if node.operator.duties is not None:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, running.cancel)
+    try:
+        await running
+    except asyncio.CancelledError:
+        await node.release()
+
+
 def main(argv: list[str] | None = None) -> int:
-    """Run a controller, or check its settings; the exit code."""
-    args = build_parser().parse_args(argv)
+    """Run a controller, check its settings, or ask controllers; the exit code."""
+    words = sys.argv[1:] if argv is None else argv
+    if words[:1] == ["duties"]:
+        from peathall.duties import command
+
+        return command.main(words[1:])
+    args = build_parser().parse_args(words)
     level = os.environ.get("LOG_LEVEL", "info").lower()
     logging.basicConfig(
         stream=sys.stderr,
@@ -41,11 +64,12 @@
         if level not in LEVELS:
             raise settings.SettingsError(f"LOG_LEVEL: {level!r} is none of {', '.join(LEVELS)}")
         config = settings.load(args.config)
-        operator = (
-            settings.load_operator(args.operator_config)
-            if args.operator_config
-            else settings.Operator()
-        )
+        operator = settings.Operator()
+        if args.operator_config:
+            # Imported here only: most controllers have no such file.
+            from peathall.operator_file import load_operator
+
+            operator = load_operator(args.operator_config)
     except settings.SettingsError as exc:
         print(f"peathall: {exc}", file=sys.stderr)
         return 2
@@ -57,7 +81,7 @@
     from peathall.node import Node
 
     try:
-        asyncio.run(Node(config, operator).run())
+        asyncio.run(serve(Node(config, operator)))
     except OSError as exc:
         print(f"peathall: {exc}", file=sys.stderr)
         return 1
--- a/peathall/cluster.py
+++ b/peathall/cluster.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 
 from peathall import constants
@@ -25,7 +26,7 @@
         self.jobs: dict[str, Job] = {}
         self.past: dict[str, Standing] = {}
         self.machines: dict[str, Machine] = {}
-        self.deleted: set[str] = set()
+        self._deleted: OrderedDict[str, float] = OrderedDict()  # name -> when, the latest last
         self.types: dict[str, MachineType] = {}
         self.usage: dict[str, list[float]] = {}  # team -> cpus, gpus of all live attempts
         # Round key -> its attempts that may still exist, in order.
@@ -62,6 +63,16 @@
             found.set_size(size)
         return found
 
+    def was_deleted(self, name: str) -> bool:
+        """Whether the machine of this name is gone, as far as is remembered."""
+        return name in self._deleted
+
+    def note_deleted(self, name: str, now: float) -> None:
+        """Remember that the machine is gone for as long as late copies of its reports may come."""
+        self._deleted[name] = now
+        while now - next(iter(self._deleted.values())) > constants.DELETED_MEMORY_S:
+            self._deleted.popitem(last=False)
+
     def book(self, job: Job, task: int, number: int, machine: Machine, round_key: str) -> Attempt:
         """Take the room of a new attempt, before anything is stored or sent."""
         attempt = Attempt(job, task, number, machine.name, round_key)
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -49,6 +49,7 @@
 DRIFT = 0.0005  # part; steady clocks of two machines differ by up to 0.05%
 LEAD_MARGIN_S = 0.3  # s; the last act before the lease ends must have left by then
 CAMPAIGN_JITTER_S = 0.25  # s; spreads candidates, so that one wins at the first try
+GATE_CLOSED_S = 2.0  # s; between campaigns that only a switch by operators lets through
 REST_S = 25.0  # s; a leader that the workers could not reach stands back for this long
 REST_VACANT_S = 6.0  # s; ... unless nobody else has taken the lead for this long
 
@@ -86,14 +87,18 @@
 ERROR_BACKOFF_S = 2.0  # s; doubled with each failed start of a suspect job
 ERROR_BACKOFF_MAX_S = 60.0  # s; a mistaken job stays until its user cancels it
 SAVE_GRACE_S = 3.0  # s; added to the time that a task needs to save
-CACHE_RECORDS = 64  # records that hold all machines' caches: a wave of new images on hundreds of
-# machines costs no more changes than this
+CACHE_RECORDS = 64  # records that hold all machines' caches, at least: a wave of new images on
+# hundreds of machines costs no more changes than this
+CACHE_BYTES = 130  # bytes of a machine's share of such a record, at least: its name and about four
+# images; with less, thousands of machines would leave no room for any
 FORGET_CACHES_S = 60.0  # s; after a take-over every living machine has reported or is listed
 MACHINE_TASKS = (
     600  # in a report, ended ones included, and orders in an answer: each takes about 80
 )
 # bytes of 64 KiB, and a machine whose report is too large would be lost
-KNOWN_TASK_REPORTS = 24_000  # sentences of reports that are recognised, some 700 bytes each
+TASK_REPORTS_S = 30.0  # s; what no report has said for so long is not recognised any more; each
+# sentence takes some 700 bytes, so memory follows what the machines report, with no limit of ours
+DELETED_MEMORY_S = 1800.0  # s; late copies of a deleted machine's reports come minutes late
 DEFERRABLE_ORDERS = 40.0  # a second and core: direct orders for tasks that could wait for their
 # machine's next report, at most; each costs the leader about as much as a report
 GC_OBJECTS = 20_000  # new objects between looks for cyclic garbage: asyncio makes little of it
@@ -124,7 +129,9 @@
 URGENT_S = 30.0  # s; with more time left to meet an aim, a job waits rather than stop others
 
 # --- fleet ------------------------------------------------------------------
-LIST_S = 3.0  # s; between looks at the machine list
+LIST_S = 3.0  # s; between looks at the machine list, at least
+LIST_SHARE = 0.4  # of the cloud's calls: the list of thousands of machines has many pages
+LIST_KEEP = 0.5  # of the cloud's burst that pages of the list leave to rentals and deletions
 TYPES_S = 60.0  # s; prices move slowly
 CLOUD_TIMEOUT_S = 4.0  # s; cloud answers take some 100 ms
 HIRE_MAX = 50  # machines in one rental request (protocol)
@@ -164,3 +171,17 @@
     120.0  # s; late copies of a worker's reports are told from news for this long
 )
 YOUNG_S = 6.0  # s; a controller that has just started calls itself healthy
+
+# --- duties -----------------------------------------------------------------
+DUTY_RENEWALS = 5.0  # tries that fit into one lease on a duty
+DUTY_LOOK_S = 2.0  # s; a claimant looks again this often, though news wake it
+DUTY_LEADER_PAUSE_S = 1.0  # s; the leader leaves a free duty to others for so long: its processor
+# has other work
+DUTY_HELD_PAUSE_S = 0.4  # s; for each duty that a controller holds it leaves others more time
+DUTY_HANDOVERS_KEPT = 5  # claims in the record of the token, for operators
+DUTY_RESULTS_KEPT = 1000  # answers that a holder gives again, some 1 KiB each at most
+DUTY_ACTS_MOST = 200  # unfinished actions of a duty: 10,000 rentals, or 20,000 deletions
+DUTY_WAIT_S = 3.0  # s; a holder answers by then, with what it knows
+DUTY_ASK_S = 4.0  # s; the leader waits a little longer than that
+DUTY_ASKS_AT_ONCE = 16  # requests of a leader to one holder: each takes a socket of both
+DUTY_CLOUD_SHARE = 0.3  # of the cloud's calls for each holder; the leader's looks need 0.4
--- /dev/null
+++ b/peathall/duties/settings.py
@@ -0,0 +1,23 @@
+"""The `duties` section of the operators' file."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from peathall.duties.model import Duty, Mode
+
+LeaseSeconds = Annotated[float, Meta(ge=2.0, le=60.0)]
+
+
+class DutySettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Whether this controller takes part in duties, which ones it may hold, and for how long."""
+
+    mode: Mode = Mode.ON
+    hold: list[Duty] = []  # none named: all
+    lease_s: LeaseSeconds = 5.0
+
+    def held(self) -> list[Duty]:
+        """The duties that this controller may hold."""
+        return list(dict.fromkeys(self.hold)) or list(Duty)
--- a/peathall/fleet/client.py
+++ b/peathall/fleet/client.py
@@ -8,7 +8,7 @@
 from urllib.parse import quote
 
 from peathall import constants
-from peathall.fleet.planner import Offer
+from peathall.fleet.actions import CloudError, NoCapacityError, Rental
 from peathall.settings import CloudSettings
 from peathall.store.budget import Budget
 from peathall.wire import body, names
@@ -16,28 +16,18 @@
 from peathall.wire.names import ListedMachine, MachineType
 
 
-class CloudError(Exception):
-    """The cloud gave no useful answer; `sent` as in NoAnswerError."""
-
-    def __init__(self, why: str, sent: bool) -> None:
-        super().__init__(why)
-        self.sent = sent
-
-
-class NoCapacityError(Exception):
-    """Nothing of this type, zone and kind is to be had now."""
-
-
 class CloudClient:
     """The cloud's calls. Errors are CloudError; room refused is NoCapacityError."""
 
-    def __init__(self, addr: str, settings: CloudSettings, may_send: Callable[[], bool]) -> None:
+    def __init__(
+        self, addr: str, settings: CloudSettings, may_send: Callable[[], bool], share: float = 1.0
+    ) -> None:
         self.http = HttpClient(addr, may_send=may_send)
         self.loop = asyncio.get_running_loop()
-        self.budget = Budget(settings.rps * 0.9, settings.rps)
+        self.budget = Budget(settings.rps * share * 0.9, settings.rps * share)
 
-    async def _ask(self, method: str, path: str, value: Any = None) -> Any:
-        while (pause := self.budget.wait(1, self.loop.time())) > 0:
+    async def _ask(self, method: str, path: str, value: Any = None, keep: float = 0.0) -> Any:
+        while (pause := self.budget.wait(1, self.loop.time(), keep)) > 0:
             await asyncio.sleep(pause)
         data = b"" if value is None else body.cbor_bytes(value)
         try:
@@ -66,21 +56,22 @@
             path = f"/hosts?most={constants.LIST_PAGE}" + (
                 f"&after={quote(after)}" if after else ""
             )
-            raw = await self._ask("GET", path)
+            # The first page waits as all calls do, or a busy cloud would never be looked at.
+            raw = await self._ask("GET", path, keep=constants.LIST_KEEP if after else 0.0)
             page = [names.listed_from_wire(x) for x in raw["halls"]]
             found += page
             if not raw.get("more") or not page:
                 return found
             after = page[-1].name
 
-    async def rent(self, request: str, offer: Offer, count: int) -> list[str]:
+    async def rent(self, rental: Rental) -> list[str]:
         """Rent machines; a request repeated under its name rents nothing more."""
         wire = {
-            "hire": request,
-            "build": offer.type.name,
-            "ward": offer.zone,
-            "standby": offer.spot,
-            "how_many": count,
+            "hire": rental.request,
+            "build": rental.type,
+            "ward": rental.zone,
+            "standby": rental.spot,
+            "how_many": rental.count,
         }
         return [str(x) for x in (await self._ask("POST", "/hosts", wire))["halls"]]
 
--- a/peathall/fleet/returns.py
+++ b/peathall/fleet/returns.py
@@ -45,23 +45,18 @@
         self.guaranteed = any(team.cpus or team.gpus for team in params.teams)
         self.made_way_at = -1e9
 
-    def _heard_share(self, now: float) -> float:
-        up = self.health.expected()
-        limit = self.health.suspect_s()
-        reached = [m for m in up if m.deaf_since is None and self.health.silence(m, now) < limit]
-        return len(reached) / max(1, len(up))
-
     def to_delete(self, now: float, shortage: Shortage) -> list[Machine]:
         """Machines that are of no use any more, at most as many as one request may name."""
         self.health.note_tick(now)
         self.boots.note()
-        heard, elsewhere = self._heard_share(now), self.health.reporting_elsewhere()
-        most_heard = self.health.most_heard(now)
+        heard, elsewhere = self.health.heard_share(now), self.health.reporting_elsewhere()
         chosen = []
         for machine in self.cluster.machines.values():
             why = self._why_delete(machine, now, heard, elsewhere)
-            if not why and most_heard and not elsewhere(machine):
-                why = self._unreachable(machine, now)
+            if not why and self._unreachable(machine, now) and not elsewhere(machine):
+                why = (
+                    f"silent for {self.health.silent_to_us_s(machine, now):.0f} s, and unreachable"
+                )
             if why:
                 if machine.phase is not MachinePhase.DELETING:
                     log.info("machine %s is to be deleted: %s", machine.name, why)
@@ -123,16 +118,15 @@
             return "reported once, and nothing since shows that it exists"
         return ""
 
-    def _unreachable(self, machine: Machine, now: float) -> str:
+    def _unreachable(self, machine: Machine, now: float) -> bool:
         """A machine whose replicas are missed at once: silent, and no probe of it is answered."""
-        probed = machine.failed_probes >= constants.PROBE_TRIES and machine.replicas
-        if (
-            machine.phase is MachinePhase.UP
-            and probed
+        return (
+            machine.failed_probes >= constants.PROBE_TRIES
+            and machine.replicas > 0
+            and machine.phase is MachinePhase.UP
             and self.health.missed_a_report(machine, now)
-        ):
-            return f"silent for {self.health.silent_to_us_s(machine, now):.0f} s, and unreachable"
-        return ""
+            and self.health.most_heard(now)
+        )
 
     def _make_way(self, now: float, shortage: Shortage) -> list[Machine]:
         """A cloud that refuses what a job has long waited for may have given all it has: a few
--- a/peathall/fleet/service.py
+++ b/peathall/fleet/service.py
@@ -11,8 +11,9 @@
 from peathall import constants
 from peathall.cluster import ClusterState
 from peathall.fleet.account import Account
+from peathall.fleet.actions import CloudActions, CloudError, NoCapacityError, Rental
 from peathall.fleet.boots import BootTimes
-from peathall.fleet.client import CloudClient, CloudError, NoCapacityError
+from peathall.fleet.client import CloudClient
 from peathall.fleet.planner import Bin, Offer, all_offers, offer_of, plan_rentals
 from peathall.fleet.returns import Returns, Shortage
 from peathall.jobs.model import JobPhase
@@ -30,6 +31,13 @@
 TYPES = "types"
 
 
+def list_gap_s(machines: int, rps: float) -> float:
+    """Seconds between looks at a list of so many machines, at so many calls a second: its pages
+    leave most of the calls to rentals and deletions."""
+    pages = 1 + machines // constants.LIST_PAGE
+    return max(constants.LIST_S, pages / (constants.LIST_SHARE * rps))
+
+
 class Fleet:
     """Looks at the cloud's list, returns machines and rents others."""
 
@@ -43,7 +51,9 @@
         may_act: Callable[[], bool],
         on_change: Callable[[], None],
         idle_hold_s: float | None,
+        actions: CloudActions | None = None,
     ) -> None:
+        self.actions = actions or cloud  # who rents and deletes
         self.cluster = cluster
         self.params = params
         self.cloud = cloud
@@ -65,6 +75,7 @@
         self.accounted = self.reported = self.loop.time()
         self.listed_once = False
         self.list_at = -1e9
+        self.list_gap_s = constants.LIST_S
         self.types_at = -1e9
 
     # --- machine types -------------------------------------------------------
@@ -163,15 +174,17 @@
         self._account(now)
         if not self.cluster.types or now - self.types_at > constants.TYPES_S:
             await self._refresh_types(now)
-        if now - self.list_at > constants.LIST_S:
+        if now - self.list_at > self.list_gap_s:
             self.list_at = now
-            self._compare(await self.cloud.machines(), self.loop.time())
+            listed = await self.cloud.machines()
+            self.list_gap_s = list_gap_s(len(listed), self.params.cloud.rps)
+            self._compare(listed, self.loop.time())
 
     # --- list ----------------------------------------------------------------
     def _compare(self, listed: list[ListedMachine], now: float) -> None:
         self.listed_once = True
         for item in listed:
-            if item.name in self.cluster.deleted:
+            if self.cluster.was_deleted(item.name):
                 continue
             # One that runs and is new to us came up under an earlier leader: whether it is
             # silent is judged by what it reports from now on, not by its age.
@@ -201,6 +214,17 @@
                 # by the lapse of its lease; being unlisted alone proves nothing.
                 self.workers.machine_gone(machine, now, "not listed any more")
 
+    # --- duties ---------------------------------------------------------------
+    def condemn(self, names: set[str], now: float) -> None:
+        """After a take-over: machines whose deletion is committed. Nothing starts there."""
+        for name in names:
+            machine = self.cluster.machine(name, "", "", False, MachinePhase.UNHEARD, now)
+            machine.enter(MachinePhase.DELETING)
+
+    def act_directly(self) -> None:
+        """From now on the leader rents and deletes by itself."""
+        self.actions = self.cloud
+
     # --- returning -----------------------------------------------------------
     def _shortage(self, now: float) -> Shortage:
         return Shortage(
@@ -226,7 +250,7 @@
         for machine in chosen:
             machine.enter(MachinePhase.DELETING)
         try:
-            await self.cloud.delete([m.name for m in chosen] + extra)
+            await self.actions.delete([m.name for m in chosen] + extra)
         except CloudError:
             self.failed += extra
             raise
@@ -295,7 +319,9 @@
         if not self.may_act():
             return
         try:
-            got = await self.cloud.rent(request, offer, count)
+            got = await self.actions.rent(
+                Rental(request, offer.type.name, offer.zone, offer.spot, count)
+            )
         except NoCapacityError:
             if entry in self.unsure:
                 self.unsure.remove(entry)
@@ -319,7 +345,7 @@
         )
         now = self.loop.time()
         for name in got:
-            if name not in self.cluster.deleted:
+            if not self.cluster.was_deleted(name):
                 machine = self.cluster.machine(
                     name, offer.type.name, offer.zone, offer.spot, MachinePhase.BOOTING, now
                 )
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from peathall import constants
 from peathall.cluster import ClusterState
@@ -27,6 +27,9 @@
 from peathall.workers.service import Workers
 from peathall.workers.suspects import SUSPECTS, Suspects
 
+if TYPE_CHECKING:
+    from peathall.duties.service import Duties
+
 log = logging.getLogger("peathall.leader")
 
 
@@ -52,7 +55,9 @@
         depose: Callable[[], None],
         wall: Callable[[], float],
         reporting_elsewhere: Callable[[], dict[str, tuple[int, int]]],
+        duties: Duties | None = None,
     ) -> None:
+        self.duties = duties if mandate.delegates else None
         params = settings.params
         self.loop = asyncio.get_running_loop()
         self.settings = settings
@@ -90,6 +95,7 @@
             self.may_act,
             self._request_round,
             operator.idle_hold_s,
+            self.duties.delegate(mandate.term, self.writer) if self.duties is not None else None,
         )
         self.placement = Placement(
             self.cluster, params, self.writer, self.workers, wall, self.may_act, self.fleet
@@ -142,6 +148,9 @@
                 self._tick(),
             ):
                 tasks.append(asyncio.create_task(coro))
+            if self.duties is not None and self.duties.retiring:
+                retiring = self.duties.retire(self.writer, self.fleet.act_directly)
+                tasks.append(asyncio.create_task(retiring))
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 if not task.cancelled() and task.exception() is not None:
@@ -166,6 +175,7 @@
                 rounds, _ = await self.store.scan(ROUND)
                 caches, _ = await self.store.scan(CACHE)
                 suspects = await self.store.get(SUSPECTS)
+                condemned = await self.duties.condemned() if self.duties is not None else set()
                 break
             except StoreError as exc:
                 log.info("reading the records: %s", exc)
@@ -176,6 +186,7 @@
         self.jobs.load(live, done, revision)
         self.caches.load(caches)
         self.suspects.load(suspects)
+        self.fleet.condemn(condemned, self.loop.time())
         self.placement.rounds.load(rounds, self.loop.time())
         self.workers.took_over = self.loop.time()
 
--- a/peathall/leadership/election.py
+++ b/peathall/leadership/election.py
@@ -10,7 +10,9 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Protocol
 
 import msgspec
 from msgspec import Struct
@@ -49,10 +51,37 @@
     lease: int
 
 
+@dataclass(frozen=True, slots=True)
+class CampaignTerms:
+    """On what a campaign depends besides `lead`, and what a win writes beside it."""
+
+    conditions: dict[str, int]
+    puts: list[Put] = field(default_factory=list)
+    delegates: bool = False  # who wins acts on the cloud by way of the holders of duties
+
+
+class CampaignGate(Protocol):
+    """Decides on what terms this controller may stand."""
+
+    async def terms(self) -> CampaignTerms:
+        """Those of the next campaign."""
+
+    def refused(self, failed: list[str]) -> bool:
+        """Whether such keys, which failed a campaign, will fail the next one as well."""
+
+
 class Mandate:
     """What a won election gives: the term, `lead` as it was written, and its lease."""
 
-    def __init__(self, term: int, record: LeadRecord, lease_id: int, lease: LeadLease) -> None:
+    def __init__(
+        self,
+        term: int,
+        record: LeadRecord,
+        lease_id: int,
+        lease: LeadLease,
+        delegates: bool = False,
+    ) -> None:
+        self.delegates = delegates
         self.term = term
         self.record = record
         self.lease_id = lease_id
@@ -68,8 +97,10 @@
         store: StateClient,
         lead: Callable[[Mandate], Awaitable[None]],
         rng: random.Random,
+        gate: CampaignGate,
     ) -> None:
         self.name = name
+        self.gate = gate
         self.store = store
         self.lead = lead  # runs as long as we lead; returns when deposed
         self.rng = rng
@@ -160,6 +191,7 @@
 
     async def _campaign(self) -> None:
         self._enter(Phase.STANDING)
+        terms = await self.gate.terms()
         term_item = await self.store.get(TERM, first=True)
         term = (term_item.value["n"] if term_item else 0) + 1
         sent = self.loop.time()
@@ -167,16 +199,19 @@
         record = msgspec.to_builtins(LeadValue(self.name, term, lease_id))
         try:
             version = await self.store.commit(
-                {LEAD: 0, TERM: term_item.version if term_item else 0},
-                [Put(LEAD, record, lease_id), Put(TERM, {"n": term})],
+                {LEAD: 0, TERM: term_item.version if term_item else 0, **terms.conditions},
+                [Put(LEAD, record, lease_id), Put(TERM, {"n": term}), *terms.puts],
             )
-        except (ConflictError, LeaseGoneError):
+        except (ConflictError, LeaseGoneError) as exc:
             await self._end(lease_id)
+            if isinstance(exc, ConflictError) and self.gate.refused(exc.failed):
+                await asyncio.sleep(constants.GATE_CLOSED_S)
             return
         # A commit without an answer ends up in run(): if it did go through, `lead`
         # names us, that lease is ended, and the term is simply skipped.
         written = LeadRecord(LEAD, record, version, lease_id)
-        self.mandate = Mandate(term, written, lease_id, LeadLease(constants.LEAD_TTL_S, sent))
+        lease = LeadLease(constants.LEAD_TTL_S, sent)
+        self.mandate = Mandate(term, written, lease_id, lease, terms.delegates)
         await self._lead(self.mandate)
 
     async def _lead(self, mandate: Mandate) -> None:
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -9,11 +9,14 @@
 import re
 import time
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from peathall import constants
+from peathall.duties.gate import DutyGate
+from peathall.duties.model import Mode
+from peathall.duties.settings import DutySettings
 from peathall.fleet.client import CloudClient
 from peathall.fleet.service import TYPES
 from peathall.jobs.fallback import Fallback
@@ -28,6 +31,9 @@
 from peathall.wire.names import JobSpec
 from peathall.wire.turns import Rank, Turns
 
+if TYPE_CHECKING:
+    from peathall.duties.service import Duties
+
 log = logging.getLogger("peathall.node")
 
 JOB_PATH = re.compile(r"/work/([^/]+)(/withdraw)?\Z")
@@ -60,8 +66,11 @@
             settings.services.cloud, settings.params.cloud, lambda: self.election.may_act()
         )
         self.leader: Leader | None = None
-        self.election = Election(settings.name, self.store, self._lead, self.rng)
-        self.peers = Peers(settings.peers, self._forwarded)
+        mode = self.operator.duty_mode
+        gate = DutyGate(self.store, mode)
+        self.election = Election(settings.name, self.store, self._lead, self.rng, gate)
+        self.peers = Peers(settings.peers, self._forwarded, self._serve_duty)
+        self.duties = self._make_duties() if mode is not Mode.OFF else None
         self.started = self.loop.time()
         self.fallback = Fallback(self.store, settings.params)
         self.peers.leads = self.election.may_act
@@ -70,6 +79,29 @@
         self.turns = Turns()
         self.back = HttpServer(self.peers.serve, int(sockets * constants.PEER_SHARE))
 
+    def _make_duties(self) -> Duties:
+        # Imported here only: a controller without duties does not spend the memory.
+        from peathall.duties.service import Duties
+
+        return Duties(
+            self.settings,
+            self.operator.duties or DutySettings(),
+            self.store,
+            self.peers.send,
+            lambda: self.election.may_act(),
+            self.wall,
+            self.rng,
+        )
+
+    async def _serve_duty(self, path: str, raw: bytes) -> tuple[int, Any]:
+        if self.duties is None:
+            return 404, None
+        try:
+            return await self.duties.serve(path, raw)
+        except StoreError as exc:
+            log.debug("asked about duties: %s", exc)
+            return 503, None
+
     async def run(self) -> None:
         """Serve until the process ends."""
         self.assemble()
@@ -79,9 +111,19 @@
         await self.api.start(*split_addr(self.settings.listen))
         log.info("%s serves users and workers on %s", self.settings.name, self.settings.listen)
         await asyncio.gather(
-            self.election.run(), self.peers.ping_all(), self._watch_reach(), self._learn_types()
+            self.election.run(),
+            self.peers.ping_all(),
+            self._watch_reach(),
+            self._learn_types(),
+            self._forget_task_reports(),
+            *([self.duties.run()] if self.duties is not None else []),
         )
 
+    async def release(self) -> None:
+        """An orderly end: what this controller holds is taken over at once."""
+        if self.duties is not None:
+            await self.duties.release_all()
+
     # --- leading -------------------------------------------------------------
     async def _lead(self, mandate: Mandate) -> None:
         leader = Leader(
@@ -94,6 +136,7 @@
             self.election.depose,
             self.wall,
             lambda: self.peers.reporting_elsewhere(self.loop.time()),
+            self.duties,
         )
         self.leader = leader
         try:
@@ -124,6 +167,12 @@
                 log.debug("reading machine types: %s", exc)
             await asyncio.sleep(constants.TYPES_S if self.fallback.types else 2.0)
 
+    @staticmethod
+    async def _forget_task_reports() -> None:
+        while True:
+            await asyncio.sleep(constants.TASK_REPORTS_S)
+            names.task_reports.begin_generation()
+
     # --- the way of a request ------------------------------------------------
     async def _serve(self, request: Request) -> Response:
         path, method = request.path, request.method
--- a/peathall/peers/service.py
+++ b/peathall/peers/service.py
@@ -19,6 +19,10 @@
 # controllers of different versions: the spelling stays.
 TURNED_AWAY = "knocks"
 
+DUTY_PATHS = ("/duty", "/duties", "/duties/waiting")
+
+# Path and body of a request about duties -> status and value of the answer.
+DutyHandler = Callable[[str, bytes], Awaitable[tuple[int, Any]]] | None
 Handle = Callable[[dict[str, Any]], Awaitable[tuple[int, Any]]]
 
 
@@ -38,7 +42,8 @@
 class Peers:
     """Pings of the other controllers, and what they tell."""
 
-    def __init__(self, peers: list[Peer], handle: Handle) -> None:
+    def __init__(self, peers: list[Peer], handle: Handle, duties: DutyHandler = None) -> None:
+        self.duties = duties
         self.views = {peer.name: PeerView(peer) for peer in peers}
         self.handle = handle
         self.loop = asyncio.get_running_loop()
@@ -63,8 +68,17 @@
                 return json_response(400, None)
             status, value = await self.handle(message)
             return json_response(status, value)
+        if self.duties is not None and request.path in DUTY_PATHS:
+            return json_response(*await self.duties(request.path, request.body))
         return json_response(404, None)
 
+    async def send(self, name: str, path: str, raw: bytes, timeout: float) -> tuple[int, bytes]:
+        """Status and body of a peer's answer; NoAnswerError if there is none in time."""
+        view = self.views.get(name)
+        if view is None:
+            raise NoAnswerError(f"{name} is no controller known here", sent=False)
+        return await view.client.request("POST", path, raw, timeout)
+
     def note_turned_away(self, worker: str, order: tuple[int, int], now: float) -> None:
         """We turn a worker's report away. A late copy of an older one is no news."""
         known = self.turned_away.get(worker)
--- a/peathall/settings.py
+++ b/peathall/settings.py
@@ -10,6 +10,8 @@
 from msgspec import Meta, Struct, field
 
 from peathall import constants
+from peathall.duties.model import Mode
+from peathall.duties.settings import DutySettings
 
 Positive = Annotated[float, Meta(gt=0)]
 NotNegative = Annotated[float, Meta(ge=0)]
@@ -147,10 +149,16 @@
     peers: list[Peer] = field(name="known", default=[])
 
 
-class Operator(Struct, frozen=True):
+class Operator(Struct, frozen=True, forbid_unknown_fields=True):
     """What the operators may set themselves; the defaults serve without a file."""
 
     idle_hold_s: NotNegative | None = None
+    duties: DutySettings | None = None
+
+    @property
+    def duty_mode(self) -> Mode:
+        """This controller's part in duties; without a section it has none."""
+        return self.duties.mode if self.duties is not None else Mode.OFF
 
 
 def split_addr(addr: str) -> tuple[str, int]:
@@ -198,20 +206,3 @@
         raise SettingsError(f"cannot read {path}: {exc}") from None
     except SettingsError as exc:
         raise SettingsError(f"{path}: {exc}") from None
-
-
-def load_operator(path: str) -> Operator:
-    """Read the operators' file: protobuf text format of google.protobuf.Struct."""
-    # Imported here only: the library costs start-up time and memory that a
-    # controller without such a file does not have to spend.
-    from google.protobuf import json_format, struct_pb2, text_format
-
-    message = struct_pb2.Struct()
-    try:
-        with open(path, encoding="utf-8") as handle:
-            text_format.Parse(handle.read(), message)
-        return msgspec.convert(json_format.MessageToDict(message), Operator)
-    except (OSError, UnicodeDecodeError, text_format.ParseError) as exc:
-        raise SettingsError(f"{path}: {exc}".replace("\n", " ")) from None
-    except msgspec.ValidationError as exc:
-        raise SettingsError(f"{path}: {exc}") from None
--- a/peathall/wire/names.py
+++ b/peathall/wire/names.py
@@ -12,14 +12,13 @@
 
 import math
 from enum import Enum, IntEnum
-from functools import lru_cache
 from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, Struct, field
 
-from peathall import constants
 from peathall.wire.body import MalformedError
+from peathall.wire.recent import RecentlyRead
 
 
 class Priority(IntEnum):
@@ -257,9 +256,7 @@
     return f"{job}/{task}"
 
 
-@lru_cache(maxsize=constants.KNOWN_TASK_REPORTS)
-def task_report(item: WireTask) -> TaskReport:
-    """Most of a report says what the one before said: that is not taken apart again."""
+def _read_task(item: WireTask) -> TaskReport:
     job, task = task_from_wire(item.parcel)
     # An unknown word for an end is taken as an error: the attempt is over.
     state = STATE.get(item.standing)
@@ -269,11 +266,15 @@
     return TaskReport(job, task, item.attempt, state, why, bool(item.kept))
 
 
+# Most of a report says what the one before said: that is not taken apart again.
+task_reports: RecentlyRead[WireTask, TaskReport] = RecentlyRead(_read_task)
+
+
 def report_from_wire(raw: dict[str, Any]) -> Report:
     """The report of a check-in; MalformedError if it is none."""
     try:
         wire = msgspec.convert(raw, WireReport)
-        tasks = [task_report(item) for item in wire.parcels]
+        tasks = [task_reports(item) for item in wire.parcels]
     except (msgspec.ValidationError, ValueError) as exc:
         raise MalformedError(str(exc)) from None
     return Report(
--- a/peathall/workers/caches.py
+++ b/peathall/workers/caches.py
@@ -28,6 +28,7 @@
         self.limit = writer.value_limit
         self.loaded: dict[str, list[tuple[str, float]]] = {}
         self.members: dict[str, dict[str, None]] = {}  # record -> machines in it
+        self.record_of: dict[str, str] = {}  # machine -> its record
 
     def load(self, items: list[Item]) -> None:
         """After a take-over: what was remembered."""
@@ -36,6 +37,7 @@
             for name, images in item.value["machines"].items():
                 self.loaded[name] = images
                 self.members.setdefault(item.key, {})[name] = None
+                self.record_of[name] = item.key
 
     def recall(self, machine: Machine) -> None:
         """The machine is up and known to us: take over what earlier leaders saw on it."""
@@ -44,10 +46,23 @@
 
     def changed(self, machine: Machine) -> None:
         """Written in its latest state when nothing that matters more waits for the store."""
-        key = f"{CACHE}{crc32(machine.name.encode()) % constants.CACHE_RECORDS}"
+        key = f"{CACHE}{crc32(machine.name.encode()) % self._records()}"
+        before = self.record_of.get(machine.name)
+        if before is not None and before != key:
+            self.members[before].pop(machine.name, None)
+        self.record_of[machine.name] = key
         self.members.setdefault(key, {})[machine.name] = None
         self.writer.offer(key, lambda: self._change(key))
 
+    def _records(self) -> int:
+        """Records among which the machines are divided: more of them only once a machine's share
+        would be too small, and then twice as many, so that few machines change their record."""
+        together = max(1, self.limit // constants.CACHE_BYTES)
+        records = constants.CACHE_RECORDS
+        while records * together < len(self.cluster.machines):
+            records *= 2
+        return records
+
     def _change(self, key: str) -> Change | None:
         members = {name: self._known(name) for name in self.members[key]}
         record = {name: images for name, images in members.items() if images}
@@ -69,3 +84,5 @@
         """What was read of machines that are no more, after the cloud's list was read."""
         for name in [n for n in self.loaded if n not in self.cluster.machines]:
             del self.loaded[name]
+        for name in [n for n in self.record_of if n not in self.cluster.machines]:
+            del self.record_of[name]
--- a/peathall/workers/health.py
+++ b/peathall/workers/health.py
@@ -59,6 +59,13 @@
         heard = [m for m in up if m.deaf_since is None and self.silent_to_us_s(m, now) <= limit]
         return len(heard) >= constants.PROBE_HEARD_SHARE * len(up)
 
+    def heard_share(self, now: float) -> float:
+        """Share of the machines that hear us and have lately reported."""
+        limit = self.suspect_s()
+        up = self.expected()
+        heard = [m for m in up if m.deaf_since is None and self.silence(m, now) < limit]
+        return len(heard) / max(1, len(up))
+
     def suspect_s(self) -> float:
         """So long after a machine's last report it takes no new work."""
         return min(
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -97,7 +97,7 @@
     # --- check-ins -----------------------------------------------------------
     def checkin(self, report: Report, now: float) -> tuple[int, dict[str, Any] | None]:
         """Answer a report."""
-        if report.machine in self.cluster.deleted:
+        if self.cluster.was_deleted(report.machine):
             # A late copy from a machine that no longer exists.
             return 503, None
         known = self.cluster.machines.get(report.machine)
@@ -437,8 +437,9 @@
 
     def machine_gone(self, machine: Machine, now: float, why: str) -> None:
         """The cloud's answer, or its list, proves that the machine is gone."""
-        self.cluster.deleted.add(machine.name)
+        self.cluster.note_deleted(machine.name, now)
         self.exits.pop(machine.name, None)
+        self.unknown_tasks.pop(machine.name, None)
         self.delivery.forget(machine)
         self._lost(self.cluster.remove_machine(machine, now, why), now)
 
--- a/tests/sim/net.py
+++ b/tests/sim/net.py
@@ -6,6 +6,7 @@
 import contextvars
 import random
 import selectors
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -20,6 +21,9 @@
         self.frozen_until = -1.0  # nothing of it runs until then, though its clocks go on
         self.tasks: dict[asyncio.Task[Any], None] = {}  # ordered, unlike a set
         self.transports: dict[MemoryTransport, None] = {}
+        self.share = 0.0  # of a core that it has; 0: nothing is charged
+        self.busy_s = 0.0  # processor time that it took, while it is charged or metered
+        self.metered = False
 
 
 HOST: contextvars.ContextVar[Host] = contextvars.ContextVar("host")
@@ -70,7 +74,15 @@
 
         def run() -> None:
             if self.now >= host.frozen_until:
+                if not host.metered:
+                    callback(*args)
+                    return
+                began = time.thread_time()
                 callback(*args)
+                spent = time.thread_time() - began
+                host.busy_s += spent
+                if host.share:  # what it does takes it longer than us
+                    host.frozen_until = self.now + spent / host.share
             elif host.alive and not handles[0].cancelled():
                 # In the order in which it would have run: all of it is due at once.
                 host.deferred += 1
--- /dev/null
+++ b/tests/sim/test_duties.py
@@ -0,0 +1,450 @@
+"""Duties on the virtual clock: one holder acts at a time, whatever freezes, ends or is cut off."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+
+import pytest
+
+from peathall.duties.model import Duty, DutyPhase, Mode
+from peathall.duties.settings import DutySettings
+from peathall.settings import Operator
+from tests.sim.duty_history import DutyHistory
+from tests.sim.net import VirtualLoop
+from tests.sim.sites import node_settings
+from tests.sim.test_days import draw_job, virtual
+from tests.sim.world import World
+
+ON = Operator(duties=DutySettings())
+
+
+@pytest.fixture(autouse=True)
+def quiet() -> Iterator[None]:
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    yield
+
+
+def new_world(loop: VirtualLoop, seed: int, size: int = 3) -> World:
+    """All controllers have duties on."""
+    world = World(loop, seed, [node_settings(i, size) for i in range(size)])
+    world.operators = dict.fromkeys(range(size), ON)
+    return world
+
+
+def holder(world: World, duty: Duty) -> int | None:
+    """The controller that the state service names as the holder."""
+    record = world.state.data.get(duty.holder_key)
+    return None if record is None else int(record[0]["member"].removeprefix("hall-"))
+
+
+def claim(world: World, index: int, duty: Duty) -> Any:
+    return world.nodes[index][1].duties.claims[duty]
+
+
+def submit(world: World, number: int, **change: Any) -> asyncio.Task[None]:
+    """A job that nothing but machines keeps from running."""
+    plain = draw_job(random.Random(number), number) | {
+        "shape": "sweep", "desk": "red", "parcels": 4, "cards": 0.0, "builds": None, "ward": None,
+        "together": False, "scatter": False, "run_s": 4.0,
+    }  # fmt: skip
+    return world.submit(plain | change, f"10.9.{number // 250}.{number % 250 + 1}")
+
+
+async def until(world: World, reached: Callable[[], bool], limit_s: float = 60.0) -> float:
+    """Seconds until it is reached."""
+    began = world.loop.now
+    while not reached():
+        assert world.loop.now - began < limit_s, "not reached in time"
+        await asyncio.sleep(0.05)
+    return world.loop.now - began
+
+
+async def settled(world: World) -> None:
+    """Both duties are held."""
+    await world.begin()
+    await until(world, lambda: all(holder(world, duty) is not None for duty in Duty))
+
+
+def play(seed: int, day: Callable[[World, DutyHistory], Awaitable[None]], size: int = 3) -> None:
+    """The day, and after it the model's judgement."""
+    with virtual(seed) as loop:
+        world = new_world(loop, seed, size)
+        history = DutyHistory(world)
+
+        async def all_of_it() -> None:
+            await day(world, history)
+            await until(world, lambda: not history.unfinished())
+
+        loop.run_until_complete(all_of_it())
+        assert history.faults == []
+        assert world.broken == []
+
+
+def stop_at(world: World, index: int, step: str, act: Callable[[str], None]) -> list[str]:
+    """At the controller, `act` is called once, when an action has come so far."""
+    seen: list[str] = []
+
+    async def checkpoint(reached: str, name: str) -> None:
+        if reached == step and not seen:
+            seen.append(name)
+            act(name)
+            await asyncio.sleep(0)
+
+    world.nodes[index][1].duties.checkpoint = checkpoint
+    return seen
+
+
+def test_work_is_done_by_holders_beside_the_leader() -> None:
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        leader = world.leader()
+        holders = {holder(world, duty) for duty in Duty}
+        assert leader not in holders and len(holders) == 2  # spread, the leader spared
+        done = [submit(world, number) for number in range(1, 6)]
+        await asyncio.gather(*done)
+        await until(world, lambda: not world.workers)  # idle machines were returned
+        assert history.committed and history.condemned
+
+    play(501, day)
+
+
+@pytest.mark.parametrize("step", ["committed", "carried out"])
+@pytest.mark.parametrize("duty", Duty, ids=lambda duty: duty.value)
+@pytest.mark.parametrize("pause_s", [0.3, 3.0, 12.0])
+def test_a_holder_is_frozen_between_the_steps(duty: Duty, step: str, pause_s: float) -> None:
+    """Within its lease it goes on; past it the successor has finished what it began, and what it
+    does when it wakes changes nothing."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        index = holder(world, duty)
+        assert index is not None
+        names = stop_at(world, index, step, lambda name: world.freeze_node(index, pause_s))
+        done = [submit(world, number) for number in range(1, 4)]
+        await until(world, lambda: bool(names), 120.0)
+        await asyncio.sleep(pause_s + 2.0)
+        if pause_s > 6.0:
+            assert history.tokens[duty.value] > 1
+        await asyncio.gather(*done)
+
+    play(510, day)
+
+
+@pytest.mark.parametrize("back_s", [0.2, 4.0])
+@pytest.mark.parametrize("with_leader", [False, True])
+@pytest.mark.parametrize("step", ["committed", "carried out"])
+def test_a_holder_dies_between_the_steps(step: str, with_leader: bool, back_s: float) -> None:
+    """Alone or together with the leader; back within a fraction of a second, or later."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        index = holder(world, Duty.RENTING)
+        assert index is not None
+
+        def die(name: str) -> None:
+            leader = world.leader()
+            world.loop.call_soon(world.crash_node, index, back_s)
+            if with_leader and leader is not None:
+                world.loop.call_soon(world.crash_node, leader, back_s)
+
+        names = stop_at(world, index, step, die)
+        done = [submit(world, number) for number in range(1, 4)]
+        await until(world, lambda: bool(names))
+        await asyncio.gather(*done)
+        rented = [name for name in world.hires if name == names[0]]
+        assert rented == names  # carried out, under its one name
+
+    play(520, day)
+
+
+def test_a_frozen_holder_that_wakes_is_refused_by_the_store() -> None:
+    """It is frozen before the intent: what it commits when it wakes is for a lease that is gone."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        index = holder(world, Duty.RENTING)
+        assert index is not None
+        tenure = claim(world, index, Duty.RENTING).tenure
+        world.freeze_node(index, 15.0)
+        done = [submit(world, number) for number in range(1, 4)]
+        await asyncio.sleep(10.0)
+        assert holder(world, Duty.RENTING) != index
+        # Its own clock is of no help to it: suppose that it counts its lease wrongly.
+        tenure.lease.until = 1e9
+        await asyncio.gather(*done)
+        await asyncio.sleep(10.0)
+
+    play(530, day)
+
+
+@pytest.mark.parametrize("jump_s", [-30.0, 30.0])
+def test_the_lease_is_counted_wrongly_at_one_holder(jump_s: float) -> None:
+    """As after a jump of its steady clock: too short, it gives up early; too long, the store
+    refuses what it commits."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        index = holder(world, Duty.RENTING)
+        assert index is not None
+        claim(world, index, Duty.RENTING).tenure.lease.until += jump_s
+        done = [submit(world, 1)]
+        await asyncio.sleep(2.0)
+        world.freeze_node(index, 8.0)
+        done += [submit(world, number) for number in range(2, 5)]
+        await asyncio.gather(*done)
+
+    play(540, day)
+
+
+@pytest.mark.parametrize("everywhere", [False, True])
+def test_the_store_refuses_the_holder_or_all(everywhere: bool) -> None:
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        index = holder(world, Duty.RENTING)
+        assert index is not None
+        before = history.tokens["renting"]
+        if everywhere:
+            world.state.outage(12.0)
+        else:
+            world.state.refused_until[f"10.0.0.{index + 1}"] = world.loop.now + 12.0
+        await asyncio.sleep(3.0)
+        assert claim(world, index, Duty.RENTING).phase is DutyPhase.UNSURE
+        done = [submit(world, number) for number in range(1, 4)]
+        await asyncio.gather(*done)
+        # After an outage every lease has its full time again; refused alone, it lost its own.
+        assert (history.tokens["renting"] == before) is everywhere
+
+    play(550, day)
+
+
+@pytest.mark.parametrize("carried_out", [True, False])
+def test_the_answer_to_a_commit_is_lost(carried_out: bool) -> None:
+    """Applied at once or seconds later: its fate is known before anything follows."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        world.state.lost, world.state.late = (0.3, 0.0) if carried_out else (0.0, 0.3)
+        done = [submit(world, number) for number in range(1, 5)]
+        await asyncio.sleep(40.0)
+        world.state.lost = world.state.late = 0.0
+        await asyncio.gather(*done)
+
+    play(560, day)
+
+
+def test_an_orderly_end_hands_over_at_once() -> None:
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        index = holder(world, Duty.RENTING)
+        assert index is not None
+        host, node = world.nodes[index]
+        context = world.context(host)
+        await world.loop.create_task(node.release(), context=context)
+        world.crash_node(index, 60.0)
+        took = await until(world, lambda: holder(world, Duty.RENTING) not in (None, index))
+        assert took < 2.0  # the lease alone would have taken five
+        submit(world, 1)
+        await asyncio.sleep(20.0)
+
+    play(570, day)
+
+
+def test_without_a_holder_work_waits_and_it_is_said_why() -> None:
+    async def day(world: World, history: DutyHistory) -> None:
+        world.operators = {
+            i: Operator(duties=DutySettings(hold=[Duty.RETURNING])) for i in range(3)
+        }
+        await world.begin()
+        done = submit(world, 1)
+        await asyncio.sleep(15.0)
+        leader = world.leader()
+        assert leader is not None and not world.hires
+        status = await world.nodes[leader][1].duties.status()
+        renting, returning = status.duties
+        assert (renting.holder, renting.waiting) == (None, "nobody holds the duty")
+        assert returning.holder is not None
+        # Any other controller says the same.
+        for index in range(3):
+            host, node = world.nodes[index]
+            work = node.duties.status()
+            other = await world.loop.create_task(work, context=world.context(host))
+            assert (other.leader, other.duties) == (status.leader, status.duties)
+        # An operator lets one controller hold it.
+        world.operators[0] = ON
+        world.crash_node(0, 0.5)
+        await done
+
+    play(580, day)
+
+
+def test_a_controller_that_has_duties_off_does_not_lead_beside_holders() -> None:
+    """The mark keeps it from the lead, through crashes of all others."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        del world.operators[0]
+        await world.begin()
+        await until(world, lambda: all(holder(world, duty) is not None for duty in Duty))
+        for _ in range(4):
+            for index in (1, 2):
+                world.crash_node(index, 3.0)
+            await asyncio.sleep(2.0)
+            assert world.leader() != 0
+            await asyncio.sleep(4.0)
+        await submit(world, 1)
+
+    with virtual(590) as loop:
+        # Off leads first: only once it has ended, the mark is set.
+        world = new_world(loop, 590)
+        history = DutyHistory(world)
+        loop.run_until_complete(day(world, history))
+        assert world.broken == []
+
+
+def test_duties_are_switched_on_and_off_one_controller_after_the_other() -> None:
+    """With crashes in between, and work all the time; the order that operators are told."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        world.operators = {}
+        await world.begin()
+        await asyncio.sleep(8.0)
+        jobs = [submit(world, number) for number in range(1, 4)]
+        for operator in (ON, Operator(duties=DutySettings(mode=Mode.RETIRING)), None):
+            for index in range(3):
+                if operator is None:
+                    world.operators.pop(index)
+                else:
+                    world.operators[index] = operator
+                world.crash_node(index, 1.0)
+                await asyncio.sleep(3.0)
+                world.crash_node((index + 1) % 3, 0.3)  # one that crashes on its own
+                jobs.append(submit(world, 10 * len(jobs)))
+                await asyncio.sleep(5.0)
+            if operator is ON:
+                await until(world, lambda: all(holder(world, duty) is not None for duty in Duty))
+            else:
+                await until(world, lambda: "duties/on" not in world.state.data)
+                await asyncio.sleep(7.0)
+                assert all(holder(world, duty) is None for duty in Duty)
+        await asyncio.gather(*jobs)
+        assert world.leader() is not None
+
+    with virtual(600) as loop:
+        world = new_world(loop, 600)
+        history = DutyHistory(world)
+        loop.run_until_complete(day(world, history))
+        assert world.broken == []
+        intents = [fault for fault in history.faults if "without an intent" not in fault]
+        assert intents == []
+        assert not history.unfinished()
+
+
+def test_four_thousand_machines_are_returned_at_once() -> None:
+    """Forty deletions for one holder; each is committed before, none twice, none forgotten."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        await settled(world)
+        world.capacity = 5000
+        leader = world.leader()
+        assert leader is not None
+        host, node = world.nodes[leader]
+        kind = {"label": "small", "vcpus": 4, "cards": 0, "ram_gb": 32, "startup_s": 1e6}
+        names = [world.rent(kind, "a", False).name for _ in range(4000)]
+        actions = node.leader.fleet.actions
+
+        async def give_back() -> None:
+            await asyncio.gather(*(actions.delete(names[i : i + 100]) for i in range(0, 4000, 100)))
+
+        began = world.loop.now
+        await world.loop.create_task(give_back(), context=world.context(host))
+        assert set(names) <= history.condemned
+        assert not set(names) & world.workers.keys()
+        assert world.loop.now - began < 120.0
+
+    play(610, day)
+
+
+def test_a_thousand_freezes_in_a_row() -> None:
+    """Whoever holds or leads stands still at random, some past their leases; some die."""
+
+    async def day(world: World, history: DutyHistory) -> None:
+        rng = random.Random(620)
+        await settled(world)
+        jobs = []
+        for number in range(1000):
+            duty = rng.choice(list(Duty))
+            index = rng.choice([holder(world, duty), world.leader(), rng.randrange(5)])
+            if index is not None:
+                if rng.random() < 0.05:
+                    world.crash_node(index, rng.choice([0.2, 3.0]))
+                else:
+                    world.freeze_node(index, rng.choice([0.1, 0.5, 2.0, 7.0]))
+            if number % 40 == 0:
+                jobs.append(submit(world, 1000 + number, parcels=2))
+            await asyncio.sleep(rng.uniform(0.0, 0.6))
+        world.troubled_until = world.loop.now
+        await asyncio.gather(*jobs)
+        assert history.tokens["renting"] + history.tokens["returning"] > 20
+        assert history.actions > 20
+
+    with virtual(620) as loop:
+        world = new_world(loop, 620, 5)
+        history = DutyHistory(world)
+
+        async def all_of_it() -> None:
+            await day(world, history)
+            await until(world, lambda: not history.unfinished())
+
+        loop.run_until_complete(all_of_it())
+        assert history.faults == []
+        assert [b for b in world.broken if "unanswered" not in b] == []
+
+
+def test_a_holder_without_its_condition_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The same judgement of a holder whose commits depend on nothing finds it out."""
+    from peathall.store.writer import Transaction, Writer
+
+    plain = Writer._transaction
+
+    def unconditional(writer: Writer, batch: Any) -> Transaction:
+        made = plain(writer, batch)
+        if writer.lead.key.startswith("duties/holder/"):
+            made.conditions.pop(writer.lead.key)
+        return made
+
+    monkeypatch.setattr(Writer, "_transaction", unconditional)
+    with virtual(530) as loop:
+        world = new_world(loop, 530)
+        history = DutyHistory(world)
+
+        async def day() -> None:
+            await settled(world)
+            index = holder(world, Duty.RENTING)
+            assert index is not None
+            held = claim(world, index, Duty.RENTING)
+            executor = world.nodes[index][1].duties.executors[Duty.RENTING]
+            request = None
+            world.freeze_node(index, 9.0)
+            submit(world, 1)
+            await asyncio.sleep(8.5)
+            held.tenure.lease.until = 1e9
+            leader = world.leader()
+            assert leader is not None and request is None
+            from peathall.duties.model import ActRequest
+            from peathall.fleet.actions import Rental
+
+            lead = world.state.data["lead"]
+            late = ActRequest(
+                Duty.RENTING, held.tenure.holder.token, lead[0]["term"], lead[1],
+                rental=Rental("r-late-1", "small", "a", False, 1),
+            )  # fmt: skip
+            host = world.nodes[index][0]
+            work = executor.perform(late)
+            world.loop.create_task(work, context=world.context(host))
+            await asyncio.sleep(6.0)
+
+        loop.run_until_complete(day())
+        assert any("does not hold" in fault for fault in history.faults)
--- /dev/null
+++ b/tests/sim/test_larger.py
@@ -0,0 +1,103 @@
+"""Nothing stands below four thousand machines: a day of a large fleet, and each bound alone."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any
+
+from peathall import constants
+from peathall.cluster import ClusterState
+from peathall.fleet.service import list_gap_s
+from peathall.settings import StateSettings
+from peathall.store.client import Put
+from peathall.store.writer import Writer
+from peathall.wire.recent import RecentlyRead
+from peathall.workers.caches import Caches
+from peathall.workers.model import MachinePhase
+from tests.sim.fleet_day import FleetPlayer
+from tests.sim.test_days import virtual
+from tests.unit.test_store import lead
+
+MACHINES = 4000
+
+
+def test_a_fleet_of_several_pages_is_rented_taken_over_and_replaced() -> None:
+    """More machines than a page of the list, a deletion, a rental or the sockets hold."""
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual(21) as loop:
+        player = FleetPlayer(loop, constants.LIST_PAGE + 100)
+
+        async def day() -> None:
+            await player.rent(60.0)
+            await player.take_over(30.0)
+            await player.lose(60.0)
+
+        loop.run_until_complete(day())
+        figures = player.finish()
+        assert figures.broken == []
+        assert figures.rented_s < 40.0
+        assert figures.takeover_s < 15.0
+        assert figures.replaced_s < 40.0
+        assert (figures.deleted_alive, figures.cloud_refused) == (0, 0)
+
+
+def test_each_of_thousands_of_machines_keeps_several_images_in_small_records() -> None:
+    """At 64 records of 2 KiB, 62 machines shared one, and most of them kept nothing."""
+
+    async def run() -> None:
+        store = StateSettings(100.0, 50.0, 2.0, 4)
+        nobody: Any = None
+        writer = Writer(nobody, store, lead(), lambda: True, lambda: None)
+        cluster = ClusterState(1, 1)
+        caches = Caches(cluster, writer)
+        for number in range(MACHINES):
+            machine = cluster.machine(f"m-{number:06d}", "g", "a", False, MachinePhase.UP, 0.0)
+            for image in range(6):
+                machine.images[f"img-{image:02d}"] = 7.5
+            caches.changed(machine)
+        records = [make() for make in writer.spare.values()]
+        values = [op.value for change in records if change for op in change.ops
+                  if isinstance(op, Put)]  # fmt: skip
+        kept = {name: images for value in values for name, images in value["machines"].items()}
+        assert len(kept) == MACHINES
+        assert min(map(len, kept.values())) >= 2
+        assert sum(map(len, kept.values())) >= 4 * MACHINES
+
+    asyncio.run(run())
+
+
+def test_what_thousands_of_machines_report_again_is_recognised() -> None:
+    """A fixed number of sentences, once exceeded, recognised none: each came after all others."""
+    read: list[int] = []
+
+    def reading(number: int) -> object:
+        read.append(number)
+        return object()
+
+    memory = RecentlyRead(reading)
+    tasks = 12 * MACHINES
+    first = [memory(number) for number in range(tasks)]
+    for _ in range(3):
+        memory.begin_generation()
+        assert [memory(number) for number in range(tasks)] == first
+    assert len(read) == tasks
+    for _ in range(2):  # all but one have ended
+        memory.begin_generation()
+        memory(0)
+    assert len(memory) == 1
+
+
+def test_the_list_s_pages_leave_most_calls_to_rentals_and_deletions() -> None:
+    for rps in (1.0, 4.0, 6.0):
+        pages = MACHINES / constants.LIST_PAGE
+        assert pages / list_gap_s(MACHINES, rps) < 0.5 * rps
+    assert list_gap_s(600, 4.0) == constants.LIST_S  # fleets of today are looked at as ever
+
+
+def test_deleted_machines_are_remembered_for_as_long_as_their_copies_may_come() -> None:
+    cluster = ClusterState(1, 1)
+    for number in range(100):
+        cluster.note_deleted(f"m-{number}", 60.0 * number)
+    assert cluster.was_deleted("m-99") and cluster.was_deleted("m-70")
+    assert not cluster.was_deleted("m-60")
