--- a/tests/run.sh
+++ b/tests/run.sh
@@ -5,4 +5,5 @@
 ruff check .
 ruff format --check .
 mypy
-python -m pytest -q
+# Tests of one module that share a costly fixture are an xdist group: they stay with one worker.
+python -m pytest -q -n auto --maxprocesses 6 --dist loadgroup
--- a/tests/sim/test_limits_fall.py
+++ b/tests/sim/test_limits_fall.py
@@ -19,6 +19,9 @@
 from tests.sim.test_days import draw_job, virtual
 from tests.sim.world import World
 
+# The undisturbed day is played once and shared.
+pytestmark = pytest.mark.xdist_group("limits_fall")
+
 SEED = 400
 ARMED_S = 14.0  # s; from then on the first commit of the step brings the fall
 CRASH_S = 20.0  # s; the leader ends, so that a take-over follows
