--- a/peathall/cells/borrower.py
+++ b/peathall/cells/borrower.py
@@ -49,6 +49,14 @@
 }
 
 
+# A borrowed job of which nothing is here for so long goes back; so does one whose lease has lapsed.
+PATIENCE_S = {
+    BorrowPhase.RESERVED: constants.CELL_RESERVATION_S,
+    BorrowPhase.ADOPTED: constants.CELL_UNPLACED_S,
+    BorrowPhase.ENDED: constants.CELL_ENDED_S,
+}
+
+
 class ReplacedError(Exception):
     """A message of an epoch or order that a later one has replaced."""
 
@@ -341,19 +349,13 @@
         """Every second: leases, reservations that nobody granted, jobs that find no place."""
         self.stop_lapsed(now)
         for held in self.borrowed.values():
-            waiting = held.phase is BorrowPhase.RESERVED or not held.job.held
-            if held.job.attempts or not waiting or held.phase is BorrowPhase.ENDED:
+            if held.job.attempts:
                 held.unplaced_since = now
-            elif now - held.unplaced_since > self._patience_s(held):
+            elif not held.revoked and now - held.unplaced_since > PATIENCE_S[held.phase]:
                 log.info("job %s goes back to %s", held.spec.id, held.home)
                 self._revoke(held)
             self._drop_if_gone(held)
 
-    @staticmethod
-    def _patience_s(held: BorrowedJob) -> float:
-        reserved = held.phase is BorrowPhase.RESERVED
-        return constants.CELL_RESERVATION_S if reserved else constants.CELL_UNPLACED_S
-
     def counts(self) -> Counter[str]:
         """Jobs borrowed from each home."""
         return Counter(held.home for held in self.borrowed.values())
--- a/peathall/cells/client.py
+++ b/peathall/cells/client.py
@@ -28,6 +28,10 @@
 
 OFFER, HEARTBEAT, USER = "/cells/offer", "/cells/heartbeat", "/cells/user"
 
+# Answers that another controller of the cell would give as well. Not among them: 404, since cells
+# may be off at one controller of several.
+FINAL = (400, 403, 409)
+
 A = TypeVar("A")
 
 
@@ -85,8 +89,8 @@
                 if status == 200:
                     return msgspec.convert(orjson.loads(answer), kind)
                 why = f"it answered {status}"
-                if status not in (421, 503):
-                    break  # another controller would say the same
+                if status in FINAL:
+                    break
             except (NoAnswerError, orjson.JSONDecodeError, msgspec.ValidationError) as exc:
                 why = str(exc)
             self.at = (self.at + 1) % len(self.clients)
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -200,6 +200,7 @@
 CELL_RETRY_MOST_S = 60.0  # s; at most
 CELL_RESERVATION_S = 8.0  # s; room is kept for an offer: an offer and a grant each take two commits
 CELL_UNPLACED_S = 15.0  # s; a borrowed job without a place for so long goes back
+CELL_ENDED_S = 600.0  # s; the end of a borrowed job is kept for a home that is down for so long
 CELL_BORROWED_MOST = 64  # jobs borrowed at a time: each is named in every heartbeat, some 120 bytes
 CELL_TASKS_MOST = 64  # tasks of a job that is handed off: all of them have to find room at once
 CELL_HANDOFFS_MOST = 3  # of one job in a term, so that it does not wander
--- a/tests/sim/cells_world.py
+++ b/tests/sim/cells_world.py
@@ -11,7 +11,7 @@
 from peathall.cells.settings import CellSettings, Neighbour
 from peathall.settings import Operator
 from tests.sim.net import Host, VirtualLoop
-from tests.sim.sites import node_text
+from tests.sim.sites import node_text, node_text_with_next_limits
 from tests.sim.test_days import draw_job, mute, virtual
 from tests.sim.world import Task, Worker, World
 
@@ -35,8 +35,9 @@
     )
 
 
-def cell_settings(cell: int, size: int = 3) -> list[settings.Settings]:
-    texts = [node_text(index, size) for index in range(size)]
+def cell_settings(cell: int, size: int = 3, next_limits: bool = False) -> list[settings.Settings]:
+    make = node_text_with_next_limits if next_limits else node_text
+    texts = [make(index, size) for index in range(size)]
     return [
         settings.parse(text.replace("10.0.0.", f"10.0.{cell}.").replace("10.2.0.", f"10.2.{cell}."))
         for text in texts
@@ -136,11 +137,14 @@
 class Cells:
     """The cells of a day."""
 
-    def __init__(self, loop: VirtualLoop, seed: int, count: int) -> None:
+    def __init__(self, loop: VirtualLoop, seed: int, count: int, next_limits: bool = False) -> None:
         self.loop = loop
         self.rng = random.Random(seed)
         self.judge = CellsJudge()
-        self.worlds = [World(loop, seed + cell, cell_settings(cell), cell) for cell in range(count)]
+        self.worlds = [
+            World(loop, seed + cell, cell_settings(cell, next_limits=next_limits), cell)
+            for cell in range(count)
+        ]
         first = self.worlds[0]
         for cell, world in enumerate(self.worlds):
             world.operators = dict.fromkeys(range(3), operator_of(cell, count))
@@ -259,9 +263,9 @@
 
     def check(self) -> None:
         """The judgement of the day."""
-        assert self.judge.faults == []
+        assert self.judge.faults == [], self.judge.faults
         for world in self.worlds:
-            assert world.broken == []
+            assert world.broken == [], world.broken
 
     async def settle(self) -> None:
         """Nothing is handed off any more."""
@@ -277,10 +281,15 @@
     }  # fmt: skip
 
 
-def play(seed: int, day: Callable[[Cells], Awaitable[None]], count: int = 2) -> Cells:
+def play(
+    seed: int,
+    day: Callable[[Cells], Awaitable[None]],
+    count: int = 2,
+    next_limits: bool = False,
+) -> Cells:
     """The day, and after it the judgement."""
     with virtual(seed) as loop:
-        cells = Cells(loop, seed, count)
+        cells = Cells(loop, seed, count, next_limits)
 
         async def all_of_it() -> None:
             watching = [loop.create_task(watch(world)) for world in cells.worlds]
--- a/tests/sim/test_cells.py
+++ b/tests/sim/test_cells.py
@@ -6,9 +6,19 @@
 import logging
 from collections.abc import Callable, Iterator
 
+import msgspec
 import pytest
 
+from peathall.cells.borrower import PATIENCE_S, BorrowedJob
+from peathall.cells.home import HomeHandoffs
+from peathall.cells.model import BorrowedItem, BorrowPhase, Heartbeat, Ruling, Verdict
+from peathall.cells.service import CellLeader, HttpAnswer
+from peathall.cells.settings import CellSettings
+from peathall.modes import Mode
+from peathall.settings import Operator
+from tests.sim import production
 from tests.sim.cells_world import LEASE_S, Cells, play
+from tests.sim.sites import node_text
 
 STEPS = ["offered", "reserved", "granted", "adopted", "running", "ended"]
 HOME, BORROWER = 0, 1
@@ -264,3 +274,183 @@
         await user
 
     play(785, day, 3)
+
+
+def repeat_messages(monkeypatch: pytest.MonkeyPatch, cells: Cells) -> None:
+    """Of each message between cells copies come up to two leases late, to whoever leads then."""
+    serve = CellLeader.serve
+
+    async def serve_and_copy(self: CellLeader, path: str, raw: bytes) -> HttpAnswer:
+        for _ in range(2):
+            cells.loop.call_later(2 * LEASE_S * cells.rng.random() ** 2, again, self.own, path, raw)
+        return await serve(self, path, raw)
+
+    def again(own: CellSettings, path: str, raw: bytes) -> None:
+        leader = cells.leader(int(own.name.removeprefix("cell-")))
+        if leader is not None and leader.cells is not None:
+            cells.loop.create_task(serve(leader.cells, path, raw))
+
+    monkeypatch.setattr(CellLeader, "serve", serve_and_copy)
+
+
+@pytest.mark.parametrize("seed", range(790, 796))
+def test_messages_of_each_kind_come_late_and_twice(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def day(cells: Cells) -> None:
+        await full_beside_free(cells)
+        repeat_messages(monkeypatch, cells)
+        users = []
+        for number in range(1, 5):
+            users.append(cells.submit(HOME, number, 20.0 if number == 2 else None, run_s=9.0))
+            await asyncio.sleep(7.0)
+            cells.crash_leader(cells.rng.choice([HOME, BORROWER]), 0.2)
+        await asyncio.wait_for(asyncio.gather(*users), 240.0)
+
+    play(seed, day)
+
+
+@pytest.mark.parametrize("jump_s", [-7200.0, 7200.0])
+@pytest.mark.parametrize("step", STEPS)
+def test_the_time_of_day_jumps_at_a_step(step: str, jump_s: float) -> None:
+    """Leases are counted on the steady clock alone."""
+
+    async def day(cells: Cells) -> None:
+        def jump() -> None:
+            for world in cells.worlds:
+                for _, node in world.nodes.values():
+                    node.wall = lambda: cells.loop.now + 1e6 + jump_s
+
+        await handoff_with(cells, step, jump)
+
+    play(800, day)
+
+
+def test_the_smaller_limits_of_the_store_are_kept() -> None:
+    """2 KiB a value, 4 changes a transaction: the stand-in refuses more, which breaks the day."""
+
+    async def day(cells: Cells) -> None:
+        for world in cells.worlds:
+            world.state.value_kb, world.state.txn_ops = 2.0, 4
+        await full_beside_free(cells, 3)
+        users = [cells.submit(HOME, n, run_s=5.0) for n in range(1, 7)]
+        await asyncio.wait_for(asyncio.gather(*users), 240.0)
+        assert cells.judge.handoffs >= 3
+
+    play(805, day, next_limits=True)
+
+
+def test_cells_are_retired_and_production_comes_back() -> None:
+    """What is out comes to its end, the mark goes, and only then an older version may lead."""
+
+    async def day(cells: Cells) -> None:
+        await full_beside_free(cells)
+        user = cells.submit(HOME, 1, run_s=20.0)
+        await cells.until(lambda: cells.runs_in(BORROWER, cells.job_id(1)))
+        world, state = cells.worlds[HOME], cells.worlds[HOME].state
+        assert state.data["term"][0]["cells"]
+        retiring = msgspec.structs.replace(world.operators[0].cells, mode=Mode.RETIRING)
+        # One with the section taken out too early does not lead.
+        world.operators = {0: Operator(), 1: Operator(cells=retiring), 2: Operator(cells=retiring)}
+        for index in range(3):
+            world.crash_node(index, 0.3)
+        await user
+        await cells.until(lambda: "cells" not in state.data["term"][0], 30.0)
+        assert world.leader() in (1, 2)
+        commit, text = production.recorded(), node_text(0)
+        world.make = {0: lambda wall, rng: production.node(commit, text, wall, rng)}
+        for index in range(3):
+            world.crash_node(index, 0.2 if index == 0 else 60.0)
+        await cells.submit(HOME, 2, run_s=4.0, docket="c1")
+
+    play(810, day)
+
+
+async def cut_and_taken_back(cells: Cells) -> None:
+    """The borrower vanishes for longer than home waits, with a machine that hears its cell."""
+    await full_beside_free(cells)
+    reached = cells.at(1, "running", lambda: cells.vanish(BORROWER, 130.0))
+    user = cells.submit(HOME, 1, run_s=140.0)
+    await asyncio.wait_for(reached.wait(), 40.0)
+    await asyncio.wait_for(user, 300.0)
+
+
+def test_the_judge_finds_a_lease_that_is_not_kept(monkeypatch: pytest.MonkeyPatch) -> None:
+    play(820, cut_and_taken_back)
+    monkeypatch.setattr(BorrowedJob, "may_run", lambda self, now: not self.revoked)
+    with pytest.raises(AssertionError, match=r"two cells|ran_twice"):
+        play(820, cut_and_taken_back)
+
+
+def test_the_judge_finds_an_epoch_that_is_not_checked(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An old reservation, whose job was granted to another cell or anew since, is taken for it."""
+
+    async def day(cells: Cells) -> None:
+        await full_beside_free(cells)
+        first = cells.at(1, "reserved", lambda: cells.vanish(BORROWER, 14.0))
+        user = cells.submit(HOME, 1, run_s=30.0)
+        await asyncio.wait_for(first.wait(), 40.0)
+        await asyncio.wait_for(user, 300.0)
+
+    monkeypatch.setitem(PATIENCE_S, BorrowPhase.RESERVED, 30.0)
+    play(825, day, 3)
+
+    def careless(self: HomeHandoffs, item: BorrowedItem, beat: Heartbeat, now: float) -> Ruling:
+        handoff = self.handoffs.get(item.job)
+        if handoff is None:
+            return Ruling(item.job, item.epoch, Verdict.REVOKED)
+        if handoff.lease is None:
+            return Ruling(item.job, item.epoch, Verdict.PENDING)
+        return Ruling(item.job, item.epoch, Verdict.GRANTED, handoff.lease.lease_s)
+
+    monkeypatch.setattr(HomeHandoffs, "_rule", careless)
+    with pytest.raises(AssertionError, match="never granted"):
+        play(825, day, 3)
+
+
+@pytest.mark.parametrize("seed", range(830, 842))
+def test_a_drawn_day(seed: int) -> None:
+    """Three cells under bursts, with troubles of all kinds; the judge compares every step."""
+
+    async def day(cells: Cells) -> None:
+        rng = cells.rng
+        await cells.begin()
+        users = []
+        for number in range(1, 25):
+            cell = rng.choice([0, 0, 0, 1, 2])  # skewed
+            cancel = rng.uniform(0.0, 20.0) if rng.random() < 0.15 else None
+            size = rng.choice([1, 1, 1, 2])
+            run_s, desk = rng.uniform(5.0, 25.0), rng.choice(["red", "blue"])
+            users.append(cells.submit(cell, number, cancel, run_s=run_s, parcels=size, desk=desk))
+            await asyncio.sleep(rng.choice([0.1, 0.5, 6.0]))
+            if rng.random() < 0.4:
+                trouble(cells, rng.choice(TROUBLES))
+        await asyncio.wait_for(asyncio.gather(*users), 500.0)
+
+    play(seed, day, 3)
+
+
+TROUBLES = ["crash", "vanish", "one way", "outage", "freeze", "machine", "lossy"]
+
+
+def trouble(cells: Cells, kind: str) -> None:
+    rng = cells.rng
+    cell = rng.randrange(len(cells.worlds))
+    world = cells.worlds[cell]
+    for each in cells.worlds:
+        each.troubled_until = max(each.troubled_until, cells.loop.now + 60.0)
+    if kind == "crash":
+        cells.crash_leader(cell, rng.choice([0.2, 4.0]))
+    elif kind == "vanish":
+        cells.vanish(cell, rng.choice([4.0, 20.0, 50.0]))
+    elif kind == "one way":
+        cells.vanish(cell, rng.choice([4.0, 30.0]), hears=True)
+    elif kind == "outage":
+        world.state.outage(rng.choice([2.0, 20.0]))
+    elif kind == "freeze" and world.leader() is not None:
+        world.freeze_node(world.leader() or 0, rng.choice([1.0, 5.0, 30.0]))
+    elif kind == "machine" and world.workers:
+        rng.choice(list(world.workers.values())).die()
+    elif kind == "lossy":
+        world.state.lossy = 0.2
+        cells.loop.call_later(5.0, setattr, world.state, "lossy", 0.0)
