Cells: unit tests, refused messages, the file and the command

Need: the decisions of the home and the borrower by themselves; 400, 403, 409, 421; one line and exit code 2 for a wrong section; peathall cells. Change: tests only.

--- /dev/null
+++ b/tests/sim/test_cells_command.py
@@ -0,0 +1,125 @@
+"""Switching cells on by a file, messages that are refused, and `peathall cells`."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from pathlib import Path
+
+import msgspec
+import orjson
+import pytest
+
+from peathall import cli
+from peathall.cells.model import Heartbeat, Offer, to_value
+from peathall.cells.status import CellsStatus, CellStatus, HandoffStatus
+from peathall.modes import Mode
+from peathall.operator_file import load_operator
+from peathall.wire.http import HttpClient
+from tests.sim.cells_world import Cells, gang, play
+from tests.sim.net import Host
+from tests.sim.test_duties_command import controller
+from tests.unit.test_settings import TEXT
+
+DEPLOYED = Path(__file__).parents[2] / "deploy" / "cells.textproto"
+
+
+def test_the_deployed_file_switches_cells_on() -> None:
+    operator = load_operator(str(DEPLOYED))
+    assert operator.cell_mode is Mode.ON and operator.duty_mode is Mode.OFF
+    assert operator.cells is not None and len(operator.cells.neighbour[0].controller) == 3
+
+
+SOUTH = 'neighbour { name: "south" controller: "10.0.1.1:8081" }'
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        (f"cells {{ {SOUTH} }}", "name"),
+        (f'cells {{ name: "north" {SOUTH} {SOUTH} }}', "south is named twice"),
+        (f'cells {{ name: "south" {SOUTH} }}', "south is named twice"),
+        (f'cells {{ name: "north" lease_s: 4 {SOUTH} }}', "lease_s"),
+        ('cells { name: "north" neighbour { name: "south" } }', "controller"),
+        ('cells { name: "north" neighbour { name: "south" controller: "host" } }', "controller"),
+        ('cells { name: "north" lends: 3 }', "lends"),
+    ],
+)
+def test_a_wrong_section_ends_the_start_with_one_line(
+    text: str, named: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    config, operator = tmp_path / "x.toml", tmp_path / "cells.textproto"
+    config.write_text(TEXT)
+    operator.write_text(text)
+    words = ["--config", str(config), "--operator-config", str(operator), "--check"]
+    assert cli.main(words) == 2
+    err = capsys.readouterr().err
+    assert named in err and err.count("\n") == 1
+
+
+def test_messages_that_are_refused() -> None:
+    """Malformed: 400; an unknown cell: 403; replaced: 409; not the leader: 421, and who leads."""
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+
+    async def day(cells: Cells) -> None:
+        await cells.begin()
+        await cells.until(lambda: cells.leader(0) and cells.leader(0).may_act())
+        await asyncio.sleep(2.0)
+        leader = cells.worlds[0].leader() or 0
+
+        async def post(at: int, path: str, raw: bytes) -> tuple[int, bytes]:
+            client = HttpClient(f"10.0.0.{at + 1}:8081", keep=0)
+            context = cells.worlds[0].context(Host("10.9.9.9"))
+            work = client.request("POST", path, raw, 5.0)
+            return await cells.loop.create_task(work, context=context)
+
+        beat = Heartbeat("cell-1", "cell-0", 10**9, 7, 0, 13.0)
+        heartbeat = orjson.dumps(to_value(beat) | {"a_field_of_later_versions": 1})
+        stranger = orjson.dumps(to_value(msgspec.structs.replace(beat, cell="cell-9")))
+        misdirected = orjson.dumps(to_value(msgspec.structs.replace(beat, to="cell-9")))
+        offer = orjson.dumps(to_value(Offer("cell-1", "cell-0", 1, 1, {"id": gang(1)["id"]})))
+        assert (await post(leader, "/cells/heartbeat", heartbeat))[0] == 200
+        assert (await post(leader, "/cells/heartbeat", heartbeat))[0] == 409
+        assert (await post(leader, "/cells/heartbeat", b"{"))[0] == 400
+        assert (await post(leader, "/cells/heartbeat", b'{"cell": 3}'))[0] == 400
+        assert (await post(leader, "/cells/offer", offer))[0] == 400
+        assert (await post(leader, "/cells/heartbeat", stranger))[0] == 403
+        assert (await post(leader, "/cells/heartbeat", misdirected))[0] == 403
+        assert (await post(leader, "/cells/no-such", heartbeat))[0] == 404
+        status, raw = await post((leader + 1) % 3, "/cells/heartbeat", heartbeat)
+        assert (status, orjson.loads(raw)) == (421, {"leader": f"hall-{leader}"})
+        # Whoever is asked tells what the leader knows.
+        for at in range(3):
+            status, raw = await post(at, "/cells", b"")
+            assert status == 200
+            assert msgspec.convert(orjson.loads(raw), CellsStatus).leader == f"hall-{leader}"
+
+    play(850, day)
+
+
+def test_status_is_told_as_text_and_for_scripts(capsys: pytest.CaptureFixture[str]) -> None:
+    status = CellsStatus(
+        "north",
+        "hall-1",
+        [CellStatus("south", 1.2, 4), CellStatus("west", None, 0)],
+        [HandoffStatus("j-1", "south", "granted", 29.4)],
+        [HandoffStatus("j-2", "south", "reserved", None), HandoffStatus("j-3", "west", "ended", 0)],
+        {"j-4": "no cell has told of room lately"},
+    )
+    with controller(200, msgspec.to_builtins(status), "/cells") as address:
+        assert cli.main(["cells", "--controller", address]) == 0
+        assert capsys.readouterr().out.splitlines() == [
+            "cell north, led by hall-1",
+            "south: answered 1 s ago, 4 machines free",
+            "west: has not answered this leader",
+            "lent to south: j-1 granted, lease ends in 29 s",
+            "borrowed from south: j-2 reserved, no lease",
+            "borrowed from west: j-3 ended, lease ended",
+            "stays: j-4: no cell has told of room lately",
+        ]
+        assert cli.main(["cells", "--controller", address, "--json"]) == 0
+        assert msgspec.convert(orjson.loads(capsys.readouterr().out), CellsStatus) == status
+    with controller(404, None, "/cells") as off:
+        assert cli.main(["cells", "--controller", off]) == 1
+        err = capsys.readouterr().err
+        assert "cells are off there" in err and err.count("\n") == 1
--- a/tests/sim/test_duties_command.py
+++ b/tests/sim/test_duties_command.py
@@ -72,13 +72,13 @@
 
 
 @contextmanager
-def controller(status: int, value: Any) -> Iterator[str]:
+def controller(status: int, value: Any, path: str = "/duties") -> Iterator[str]:
     """A controller that answers so, in a thread of its own; its address."""
     ready, ended = threading.Event(), threading.Event()
     found: list[int] = []
 
     async def answer(request: Request) -> Response:
-        assert request.path == "/duties"
+        assert request.path == path
         return Response(status, orjson.dumps(value), "application/json")
 
     async def serve() -> None:
--- /dev/null
+++ b/tests/unit/test_cells.py
@@ -0,0 +1,157 @@
+"""Decisions about other cells: leases, summaries of room, and what is offered."""
+
+from __future__ import annotations
+
+import random
+from itertools import product
+
+import msgspec
+import pytest
+
+from peathall import constants
+from peathall.cells.lease import LentLease
+from peathall.cells.model import RoomRow
+from peathall.cells.room import fits_whole, summarize
+from peathall.cells.spill import Backoff, SpillRule, expected_wait_s
+from peathall.leadership.lease import LeadLease
+from peathall.placement.views import Detail, JobView, MachineView, Victim
+from peathall.settings import Objective
+from peathall.wire import names
+from tests.sim.cells_world import gang
+
+
+def spec(number: int = 1, **change: object) -> names.JobSpec:
+    wire = {k: v for k, v in (gang(number) | change).items() if k not in ("run_s", "mistaken")}
+    return names.job_from_wire(wire, 0.0)
+
+
+def machine(name: str, zone: str, gpus: float, ends: tuple[float, ...] = ()) -> MachineView:
+    def detail() -> Detail:
+        victims = [
+            Victim((f"j-{i}", 0), (2.0, 3.0, 4.0), 1, "blue", False, 0.0, end, machine=name)
+            for i, end in enumerate(ends)
+        ]
+        return Detail(victims=victims)
+
+    size = (16.0, 4.0, 128.0)
+    return MachineView(name, "big", zone, True, size, (16.0, gpus, 128.0), detail=detail)
+
+
+@pytest.mark.parametrize("way_s", [0.0, 0.4, 1.9])
+@pytest.mark.parametrize("drift", [-constants.DRIFT, constants.DRIFT])
+def test_the_homes_count_of_a_lease_ends_last(way_s: float, drift: float) -> None:
+    """Whatever the way took, and whichever clock runs faster."""
+    lease_s, lapse_s = 600.0, 25.0
+    borrower = LeadLease(lease_s, 0.0)
+    home = LentLease(lease_s, lapse_s, 0.0)
+    home.confirm(way_s, lapse_s)
+    stopped = borrower.until / (1 + drift)  # in true time
+    assert stopped < home.lapsed_at / (1 - drift)
+    assert stopped + lapse_s / (1 + drift) < home.gone_at / (1 - drift)
+    assert not home.cancelled_in_time(home.lapsed_at - 0.1, 1000.0)
+    assert home.cancelled_in_time(home.lapsed_at + 0.1, 26.0)
+    assert not home.cancelled_in_time(home.lapsed_at + 0.1, 20.0)
+
+
+def test_what_fits_by_its_summary_fits_by_trying() -> None:
+    """Against a plain model that tries every spread of tasks over the machines."""
+    rng = random.Random(3)
+    for number in range(300):
+        machines = [
+            machine(f"m-{i}", rng.choice("ab"), float(rng.choice([0, 2, 4])))
+            for i in range(rng.randrange(1, 5))
+        ]
+        job = spec(
+            number + 1,
+            parcels=rng.choice([1, 2, 3, 4]),
+            cards=rng.choice([1.0, 2.0]),
+            together=rng.random() < 0.4,
+            scatter=False,
+            ward=rng.choice([None, "a"]),
+        )
+        assert fits_whole(job, summarize(machines)) is fits_by_trying(job, machines)
+
+
+def fits_by_trying(job: names.JobSpec, machines: list[MachineView]) -> bool:
+    for counts in product(range(job.tasks + 1), repeat=len(machines)):
+        used = [m for m, count in zip(machines, counts, strict=True) if count]
+        if (
+            sum(counts) == job.tasks
+            and all(c * job.gpus <= m.free[1] for m, c in zip(machines, counts, strict=True))
+            and all(job.zone in (None, m.zone) for m in used)
+            and (not job.one_zone or len({m.zone for m in used}) == 1)
+        ):
+            return True
+    return False
+
+
+def test_a_summary_is_bounded_and_tells_of_the_most_room_first() -> None:
+    machines = [machine(f"m-{i}", f"z{i}", float(i % 5)) for i in range(4000)]
+    rows = summarize(machines)
+    assert len(rows) == constants.CELL_ROOM_ROWS and rows[0].gpus == 4
+    assert len(msgspec.json.encode(rows)) < 4096
+
+
+def test_the_wait_at_home_is_told_by_what_ends_and_what_comes() -> None:
+    job = spec(parcels=2)
+    busy = [machine("m-1", "a", 1.0, (30.0,)), machine("m-2", "b", 1.0, (70.0,))]
+    assert expected_wait_s(job, busy, []) == 70.0
+    assert expected_wait_s(job, busy, [(20.0, machine("m-3", "a", 4.0))]) == 30.0
+    together = spec(parcels=2, together=True)
+    assert expected_wait_s(together, busy, []) == constants.CELL_UNKNOWN_WAIT_S
+
+
+class Cell:
+    def __init__(self, name: str, machines: int) -> None:
+        self.name, self.machines = name, machines
+
+    def rows(self, now: float) -> list[RoomRow]:
+        return [RoomRow("big", "a", True, 16, 4, 128, self.machines)]
+
+
+OBJECTIVES = [Objective("wait", "c0", 15.0, 0.9)]
+
+
+def view(latest_start: float, number: int = 1, **change: object) -> JobView:
+    return JobView(spec(number, **change), 1, latest_start=latest_start)
+
+
+@pytest.mark.parametrize(
+    ("latest", "at_home_s", "offered"),
+    [(15.0, 60.0, True), (15.0, 3.0, False), (100.0, 60.0, False), (1e7, 60.0, False)],
+    ids=["late at home", "soon at home", "in time at home", "late anyway"],
+)
+def test_what_is_offered(latest: float, at_home_s: float, offered: bool) -> None:
+    rule, cells = SpillRule(OBJECTIVES, random.Random(1)), [Cell("south", 1)]
+    views = rule.candidates([view(latest)], ["j-000001"])
+    assert rule.choose(views, cells, lambda _: at_home_s, 0.0, 0.0) is None  # it has not waited
+    now = constants.CELL_PATIENCE_S + 0.1
+    chosen = rule.choose(views, cells, lambda _: at_home_s, now, now)
+    assert (chosen is not None) is offered
+    assert rule.choose(views, [Cell("south", 0)], lambda _: at_home_s, now, now) is None
+
+
+def test_no_other_class_is_offered_and_no_job_wanders() -> None:
+    rule, cells = SpillRule(OBJECTIVES, random.Random(1)), [Cell("south", 1), Cell("west", 1)]
+    others = [view(0.0, 1, docket="c1"), view(0.0, 2, precedence="standard")]
+    assert rule.candidates(others) == []
+    views = rule.candidates([view(10.0)], ["j-000001"])
+    now, names_ = 0.0, []
+    for _ in range(400):
+        now += 1.0
+        chosen = rule.choose(views, cells, lambda _: 60.0, now, 0.0)
+        if chosen is not None:
+            names_.append(chosen[1].name)
+            rule.note_outcome("j-000001", chosen[1].name, len(names_) > 2, now)
+    # Refused by one, it asks the other; granted three times, it stays.
+    assert names_[:2] == ["south", "west"] and len(names_) == 2 + constants.CELL_HANDOFFS_MOST
+
+
+def test_retries_back_off_with_jitter_up_to_a_bound() -> None:
+    backoff, rng, pauses = Backoff(2.0, 60.0), random.Random(1), []
+    for _ in range(10):
+        backoff.failed(0.0, rng)
+        pauses.append(backoff.until)
+    assert all(1.0 <= pause <= 60.0 for pause in pauses) and pauses[-1] >= 30.0
+    backoff.succeeded()
+    assert backoff.until == 0.0
