--- a/peathall/cells/spill.py
+++ b/peathall/cells/spill.py
@@ -1,8 +1,8 @@
 """Which waiting jobs are offered to which cell: a greedy rule with hysteresis. Pure.
 
-An urgent job is offered once it has waited for a moment, would miss its next aim at home, and
-should start sooner elsewhere by more than a handoff is worth. What home expects is an estimate;
-once the time that it named is over, it no longer speaks against an offer.
+An urgent job is offered once it has waited for a moment, would miss its next aim at home or has
+missed all, and should start sooner elsewhere by more than a handoff is worth. What home expects is
+an estimate; once the time that it named is over, it no longer speaks against an offer.
 """
 
 from __future__ import annotations
@@ -155,8 +155,9 @@
             at_home_s = constants.CELL_UNKNOWN_WAIT_S  # the estimate was wrong
         if at_home_s < elsewhere_s + constants.CELL_GAIN_S:
             return None, "it should start about as soon at home"
-        if not view.aged and view.latest_start - wall > at_home_s:
-            return None, "it meets its next aim at home, or none any more"
+        # A job that can meet no aim any more has a latest start far away: it is late already.
+        if not view.aged and at_home_s < view.latest_start - wall < constants.CELL_UNKNOWN_WAIT_S:
+            return None, "it meets its next aim at home"
         return self._with_room(spec, cells, now)
 
     def _with_room(
