Workers tell a listener; ended attempts have a module; no start leaves after a lease

Need: callbacks set after construction, a long workers/service.py; a direct start could leave up to a second after the borrower's lease had lapsed, before the tick (the bound held, but a cancellation may be confirmed by then). Change: WorkerListener and workers/exits.py; Job.start_until is looked at with each start order.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -20,6 +20,7 @@
 from peathall.settings import CloudSettings, Params, StateSettings, Team, WorkerSettings
 from peathall.wire import body, names
 from peathall.wire.names import JobSpec, MachineType
+from peathall.workers.events import IgnoredEvents
 from peathall.workers.model import MachinePhase
 from peathall.workers.service import Workers
 
@@ -45,7 +46,7 @@
     )  # fmt: skip
     cluster = ClusterState(1, 1 << 24)
     cluster.types = {"g": KIND}
-    workers = Workers(cluster, params.workers, now, lambda: True, lambda job: None, lambda: None, 9)
+    workers = Workers(cluster, params.workers, now, lambda: True, IgnoredEvents(), 9)
     writer: Any = SimpleNamespace(versions={}, submit=lambda ops: None)
     demand: Any = SimpleNamespace(note_unplaced=lambda plan: None)
     placement = Placement(cluster, params, writer, workers, lambda: 0.0, lambda: True, [demand])
--- a/peathall/cells/borrower.py
+++ b/peathall/cells/borrower.py
@@ -281,6 +281,7 @@
             if held.lease is None:
                 held.lease = LeadLease(ruling.lease_s, sent)
             held.lease.renewed(sent)
+            held.job.start_until = held.lease.until
             if held.phase is BorrowPhase.RESERVED:
                 self._adopt(held)
             self._let_run(held)
--- a/peathall/jobs/model.py
+++ b/peathall/jobs/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from enum import Enum, auto
 
 from peathall.jobs.ranges import Ranges
@@ -107,6 +108,7 @@
         "running_elsewhere",
         "settling",
         "spec",
+        "start_until",
         "stored",
         "strikes",
         "struck",
@@ -119,6 +121,7 @@
         self.spec = spec
         self.held = False  # nothing of it may start here: another cell may run it, or its lease
         # on this one has ended
+        self.start_until = math.inf  # steady time from which no start order of it may leave
         self.borrowed = False  # another cell's users submitted it there
         self.running_elsewhere = 0  # tasks that run in another cell, as it last told
         self.late = False  # it was started only once it had aged
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -26,6 +26,7 @@
 from peathall.store.writer import Writer, WriterPhase
 from peathall.wire.names import JobSpec, Report
 from peathall.workers.caches import CACHE, Caches
+from peathall.workers.model import Machine
 from peathall.workers.service import Workers
 from peathall.workers.suspects import SUSPECTS, Suspects
 
@@ -84,15 +85,12 @@
             params.workers,
             now,
             self.may_act,
-            self._done,
-            self._request_round,
+            self,
             max(1, int(params.machine_limits.fd_limit * constants.DIRECT_SHARE)),
             constants.DEFERRABLE_ORDERS * min(1.0, params.machine_limits.cpu_share),
             reporting_elsewhere,
         )
         self.caches = Caches(self.cluster, self.writer)
-        self.workers.on_images = self.caches.changed
-        self.workers.on_confirmed = self.caches.recall
         self.suspects = Suspects(self.cluster, self.workers.faults, self.writer)
         self.jobs = Jobs(
             self.cluster,
@@ -165,9 +163,26 @@
     def _request_round(self) -> None:
         self.placement.request_round()
 
-    def _done(self, job: Job) -> None:
+    def tasks_done(self, job: Job) -> None:
+        """Tasks of the job were reported done."""
         self.jobs.note_done(job)
 
+    def state_changed(self) -> None:
+        """Something may start now, or must be decided anew."""
+        self._request_round()
+
+    def images_changed(self, machine: Machine) -> None:
+        """The machine has cached another image."""
+        self.caches.changed(machine)
+
+    def machine_confirmed(self, machine: Machine) -> None:
+        """The machine has reported under this term's token for the first time."""
+        self.caches.recall(machine)
+
+    def machine_noticed(self, machine: Machine, now: float) -> None:
+        """The cloud has announced that it takes the machine back."""
+        self.placement.evacuate(machine, now)
+
     def _cancelled(self, job: Job) -> None:
         now = self.loop.time()
         self.workers.fence()
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -72,7 +72,6 @@
         self.deciding = asyncio.Lock()
         self.snapshot = Snapshot(cluster, params, workers, self.bookings)
         self.rounds = RoundRecords(cluster, writer, reclaim)
-        workers.on_notice = self.evacuate
 
     # --- rounds --------------------------------------------------------------
     def request_round(self) -> None:
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from itertools import islice
 from typing import Any
 
 from peathall import constants
@@ -15,6 +16,8 @@
 from peathall.wire import names
 from peathall.wire.names import Report, TaskReport, TaskState, Why
 from peathall.workers.delivery import DirectDelivery
+from peathall.workers.events import WorkerListener
+from peathall.workers.exits import ExitedAttempt, ExitedAttempts, ExitKey
 from peathall.workers.faults import FaultTracker
 from peathall.workers.health import MachineHealth, ReportsElsewhere
 from peathall.workers.model import Machine, MachinePhase
@@ -30,22 +33,6 @@
 }
 
 
-class ExitedAttempt:
-    """Exited attempts still in a machine's reports, kept until they may be forgotten."""
-
-    __slots__ = ("direct_token", "done", "job", "number", "settled", "task")
-
-    def __init__(
-        self, job: str, task: int, number: int, done: bool, direct_token: int, settled: bool
-    ) -> None:
-        self.job = job
-        self.task = task
-        self.number = number
-        self.done = done
-        self.direct_token = direct_token
-        self.settled = settled
-
-
 class Workers:
     """The workers' reports, and the orders that answer them."""
 
@@ -55,8 +42,7 @@
         settings: WorkerSettings,
         now: float,
         may_act: Callable[[], bool],
-        on_done: Callable[[Job], None],
-        on_change: Callable[[], None],
+        listener: WorkerListener,
         connections: int,
         deferrable_rate: float = constants.DEFERRABLE_ORDERS,
         elsewhere: ReportsElsewhere = dict,
@@ -65,8 +51,7 @@
         self.faults = FaultTracker(cluster)
         self.settings = settings
         self.may_act = may_act
-        self.on_done = on_done
-        self.on_change = on_change
+        self.listener = listener
         self.loop = asyncio.get_running_loop()
         self.took_over = now
         self.health = MachineHealth(cluster, settings, now, elsewhere)
@@ -76,12 +61,9 @@
         # The mandate under which a start was sent directly; such a start may be
         # executed late until the worker has seen a higher one.
         self.direct: dict[Attempt, int] = {}
-        self.exits: dict[str, dict[tuple[str, int, int], ExitedAttempt]] = {}
+        self.exits = ExitedAttempts(cluster)
         # Machine -> tasks there that nobody asked for.
         self.unknown_tasks: dict[str, list[tuple[str, int, int]]] = {}
-        self.on_images: Callable[[Machine], None] = lambda machine: None
-        self.on_confirmed: Callable[[Machine], None] = lambda machine: None
-        self.on_notice: Callable[[Machine, float], None] = lambda machine, now: None
 
     # --- mandate and lease ---------------------------------------------------
     @property
@@ -115,7 +97,7 @@
         if report.token >= machine.answered[0]:
             if machine.deaf_since is not None:
                 log.info("machine %s hears us again", machine.name)
-                self.on_change()
+                self.listener.state_changed()
             machine.deaf_since = None
         elif machine.deaf_since is None:
             # It reports, yet has not seen the answer to its report before: what goes out
@@ -126,9 +108,9 @@
             self._apply(machine, report, now, conclusive=True)
             if not machine.confirmed and report.token >= self.base:
                 machine.confirmed = True
-                self.on_confirmed(machine)
+                self.listener.machine_confirmed(machine)
                 log.info("machine %s confirmed, %d tasks", machine.name, len(machine.attempts))
-                self.on_change()
+                self.listener.state_changed()
         # A check-in overtaken by a direct answer is still answered, but tells nothing.
         machine.last_answer = now
         machine.answered = (self.token, now)
@@ -139,7 +121,7 @@
         if machine.phase in (MachinePhase.BOOTING, MachinePhase.UNHEARD):
             log.info("machine %s (%s, %s) is up", machine.name, machine.type, machine.zone)
             machine.enter(MachinePhase.UP)
-            self.on_change()
+            self.listener.state_changed()
         if report.addr:
             machine.addr = report.addr
         if report.session > machine.session:
@@ -151,7 +133,7 @@
             self._note_recall(machine, report, now)
         present = self._note_tasks(machine, report, now)
         if noticed:
-            self.on_notice(machine, now)
+            self.listener.machine_noticed(machine, now)
         if conclusive and report.token >= self.base:
             for attempt in list(machine.attempts.values()):
                 if attempt not in present:
@@ -167,7 +149,7 @@
             for lost in ended:
                 self.cluster.release(lost, now)
             self._lost(ended, now)
-        self.exits.pop(machine.name, None)
+        self.exits.drop(machine.name)
 
     def _note_recall(self, machine: Machine, report: Report, now: float) -> None:
         seconds = report.notice_s or 0.0
@@ -175,13 +157,13 @@
         machine.why_draining = "spot notice"
         machine.enter(MachinePhase.DRAINING)
         log.info("machine %s will be taken in %.0f s", machine.name, seconds)
-        self.on_change()
+        self.listener.state_changed()
 
     def _note_tasks(self, machine: Machine, report: Report, now: float) -> set[Attempt]:
         """Our attempts among the tasks that the report names."""
         present: set[Attempt] = set()
-        exits: dict[tuple[str, int, int], ExitedAttempt] = {}
-        before = self.exits.get(machine.name, {})
+        exits: dict[ExitKey, ExitedAttempt] = {}
+        before = self.exits.of(machine.name)
         unknown_tasks: list[tuple[str, int, int]] = []
         for item in report.tasks:
             attempt = machine.attempts.get(item.key)
@@ -202,7 +184,7 @@
                 self._seen(machine, attempt, item, now)
             else:
                 unknown_tasks.append((item.job, item.task, item.attempt))
-        self.exits[machine.name] = exits
+        self.exits.replace(machine.name, exits)
         if unknown_tasks and report.token >= self.base:  # else perhaps an old report, come late
             log.error("machine %s runs unknown tasks: %s", machine.name, unknown_tasks)
         self.unknown_tasks[machine.name] = unknown_tasks
@@ -226,7 +208,7 @@
     def _saw_image(self, machine: Machine, attempt: Attempt) -> None:
         size = self.cluster.types.get(machine.type)
         if machine.saw_image(attempt.job.spec, size.cache_gb if size else 0.0):
-            self.on_images(machine)
+            self.listener.images_changed(machine)
 
     def _exited(
         self,
@@ -262,9 +244,9 @@
             # The tasks of a gang complete together: when one is done, all are.
             if len(job.done) < job.spec.tasks:
                 job.mark_all_done()
-                self.on_done(job)
+                self.listener.tasks_done(job)
         elif job.mark_done(task):
-            self.on_done(job)
+            self.listener.tasks_done(job)
 
     def _ended(self, machine: Machine, attempt: Attempt, item: TaskReport, now: float) -> None:
         job = attempt.job
@@ -296,7 +278,7 @@
         if machine.enter(MachinePhase.DRAINING):
             machine.why_draining = why
             log.info("machine %s is emptied: %s", machine.name, why)
-            self.on_change()
+            self.listener.state_changed()
 
     def _absent(self, machine: Machine, attempt: Attempt, seen_token: int, now: float) -> None:
         """A current check-in does not show this attempt."""
@@ -320,7 +302,7 @@
             self.direct.pop(attempt, None)
             if attempt.job.spec.gang:
                 self.break_gang(attempt.job, attempt.number, now)
-        self.on_change()
+        self.listener.state_changed()
 
     def break_gang(self, job: Job, number: int, now: float) -> None:
         """One task of a gang is gone: its mates cannot go on, so nothing is worth saving."""
@@ -350,7 +332,7 @@
 
     def in_reports(self, machine: Machine) -> int:
         """How many tasks its next report will name: those it has, and ends not yet forgotten."""
-        return len(machine.attempts) + len(self.exits.get(machine.name, ()))
+        return len(machine.attempts) + len(self.exits.of(machine.name))
 
     def _orders(self, machine: Machine, now: float, direct: bool) -> list[dict[str, Any]]:
         orders = self._attempt_orders(machine, now, direct)
@@ -384,23 +366,17 @@
 
     def _may_start(self, attempt: Attempt) -> bool:
         early = attempt.phase in (AttemptPhase.INTENDED, AttemptPhase.SENT)
-        wanted = attempt.job.phase is JobPhase.ACTIVE and not attempt.job.held
+        job = attempt.job
+        wanted = (
+            job.phase is JobPhase.ACTIVE and not job.held and self.loop.time() < job.start_until
+        )
         return early and wanted and self._own(attempt)
 
     def _forget_orders(self, machine: Machine, most: int) -> list[dict[str, Any]]:
-        """For ended attempts whose end is stored, and whose starts can't arrive any more."""
-        orders: list[dict[str, Any]] = []
-        for known in self.exits.get(machine.name, {}).values():
-            if len(orders) >= most:
-                break
-            # Under our own token, the next tick raises it.
-            if self._end_is_stored(known) and known.direct_token < self.token:
-                orders.append(names.forget_order(known.job, known.task, known.number))
-        return orders
-
-    def _end_is_stored(self, known: ExitedAttempt) -> bool:
-        job = self.cluster.jobs.get(known.job)
-        return not known.done or job is None or job.over or known.task in job.stored
+        """For ended attempts that their machine need not report any more."""
+        # Under our own token, the next tick raises it.
+        known = islice(self.exits.forgettable(machine.name, self.token), max(0, most))
+        return [names.forget_order(x.job, x.task, x.number) for x in known]
 
     def direct_message(self, machine: Machine) -> dict[str, Any] | None:
         """The orders that are due now, or None."""
@@ -432,14 +408,14 @@
                 log.info("lease of machine %s has lapsed", machine.name)
                 machine.confirmed = False
                 self._lost(self.cluster.release_all(machine, now), now)
-                self.exits.pop(machine.name, None)
+                self.exits.drop(machine.name)
                 if unproven:
                     self.cluster.remove_machine(machine, now, "not heard since the take-over")
 
     def machine_gone(self, machine: Machine, now: float, why: str) -> None:
         """The cloud's answer, or its list, proves that the machine is gone."""
         self.cluster.note_deleted(machine.name, now)
-        self.exits.pop(machine.name, None)
+        self.exits.drop(machine.name)
         self.unknown_tasks.pop(machine.name, None)
         self.delivery.forget(machine)
         self._lost(self.cluster.remove_machine(machine, now, why), now)
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -24,6 +24,7 @@
 from peathall.wire.http import Request
 from peathall.wire.names import MachineType, Report, TaskReport, TaskState, Why, report_from_wire
 from peathall.workers.caches import Caches
+from peathall.workers.events import IgnoredEvents
 from peathall.workers.model import Machine, MachinePhase
 from peathall.workers.service import Workers
 from tests.unit.test_planner import spec
@@ -48,7 +49,7 @@
     cluster = ClusterState(TERM, first_attempt(TERM))
     cluster.types = {"g": KIND}
     settings = WorkerSettings(5.0, 24.0, 40.0, 4.0, 40.0)
-    return Workers(cluster, settings, now, lambda: True, lambda job: None, lambda: None, 9)
+    return Workers(cluster, settings, now, lambda: True, IgnoredEvents(), 9)
 
 
 def new_fleet(workers: Workers, cloud: Any) -> Fleet:
