--- a/bench/freezes.py
+++ b/bench/freezes.py
@@ -42,10 +42,15 @@
 cloud = "127.0.0.1:{cloud}"
 state = "127.0.0.1:{store}"
 [params]
-size = 5
+size = {size}
 zones = ["a", "b"]
 [[params.teams]]
 name = "red"
+[[params.objectives]]
+kind = "wait"
+class = "urgent"
+within_s = 10.0
+share = 0.9
 [params.workers]
 report_s = 1.0
 lease_s = 12.0
@@ -74,16 +79,21 @@
 
 
 class Site:
-    """The processes."""
+    """The processes of one cell. `plan` and `start_all` are apart, so that cells can name the ports
+    of one another."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, size: int = SIZE, machines: int = 40) -> None:
         self.folder = folder
-        ports = free_ports(2 + 2 * SIZE)
+        self.size = size
+        self.machines = machines
+        ports = free_ports(2 + 2 * size)
         self.store, self.cloud = ports[:2]
-        self.api, self.back = ports[2 : 2 + SIZE], ports[2 + SIZE :]
+        self.api, self.back = ports[2 : 2 + size], ports[2 + size :]
         self.environment = os.environ | {"PYTHONPATH": f"{ROOT}:{ROOT}/target/deps"}
-        (folder / "peathall.textproto").write_text(OPERATOR)
-        for i in range(SIZE):
+
+    def start_all(self, operator: str = OPERATOR, task_s: float = 1.0) -> None:
+        (self.folder / "peathall.textproto").write_text(operator)
+        for i in range(self.size):
             peers = "".join(
                 f'[[known]]\nmember = "hall-{k}"\nlocation = "a"\nendpoint = "127.0.0.1:{port}"\n'
                 for k, port in enumerate(self.back)
@@ -91,17 +101,20 @@
             )
             text = SETTINGS.format(
                 i=i, api=self.api[i], back=self.back[i], peers=peers, cloud=self.cloud,
-                store=self.store,
+                store=self.store, size=self.size,
             )  # fmt: skip
-            (folder / f"{i}.toml").write_text(text)
+            (self.folder / f"{i}.toml").write_text(text)
         api = [f"127.0.0.1:{port}" for port in self.api]
         script = str(ROOT / "bench" / "stand_in.py")
         self.others = [
-            self.run(script, "store", str(self.store), str(folder / "store.log")),
-            self.run(script, "cloud", str(self.cloud), str(folder / "cloud.log"), *api),
-        ]
+            self.run(script, "store", str(self.store), str(self.folder / "store.log")),
+            self.run(
+                script, "cloud", str(self.cloud), str(self.folder / "cloud.log"), *api,
+                "--machines", str(self.machines), "--task-s", str(task_s),
+            ),
+        ]  # fmt: skip
         time.sleep(1.0)
-        self.nodes = [self.start(i) for i in range(SIZE)]
+        self.nodes = [self.start(i) for i in range(self.size)]
 
     def run(self, *words: str) -> subprocess.Popen[bytes]:
         return subprocess.Popen(
@@ -121,7 +134,7 @@
             process.wait()
 
 
-async def submit(site: Site, number: int, tasks: int) -> str:
+async def submit(site: Site, number: int, tasks: int, **change: Any) -> str:
     """Until it is accepted, by whoever answers."""
     job = {
         "id": f"j-{number:06d}", "docket": "c", "desk": "red", "shape": "sweep",
@@ -129,9 +142,9 @@
         "builds": None, "ward": None, "together": False, "scatter": False, "standby": False,
         "kit": "img", "image_gb": 0.1, "reckon_s": 1.0, "tally_s": 0.0, "stow_s": 0.0,
         "due_s": None,
-    }  # fmt: skip
+    } | change  # fmt: skip
     for turn in range(600):
-        client = HttpClient(f"127.0.0.1:{site.api[(number + turn) % SIZE]}", keep=0)
+        client = HttpClient(f"127.0.0.1:{site.api[(number + turn) % site.size]}", keep=0)
         try:
             status, _ = await client.request("POST", "/work", body.cbor_bytes(job), 3.0)
             if status in (200, 201):
@@ -223,6 +236,7 @@
     args = parser.parse_args()
     folder = Path(tempfile.mkdtemp(prefix="freezes-"))
     site = Site(folder)
+    site.start_all()
     began = time.monotonic()
     try:
         jobs, done, kills = asyncio.run(play(site, args.freezes, random.Random(args.seed)))
--- a/bench/stand_in.py
+++ b/bench/stand_in.py
@@ -1,7 +1,7 @@
 """Stand-ins of state service and cloud as processes of their own on loopback, for bench/freezes.py.
 
     python3 bench/stand_in.py store PORT LOG
-    python3 bench/stand_in.py cloud PORT LOG CONTROLLER...
+    python3 bench/stand_in.py cloud PORT LOG CONTROLLER... [--machines N] [--task-s S]
 
 Each writes what it accepts to LOG, a line of JSON each, with the machine's steady time. The cloud's
 machines run workers, which report to the controllers and run tasks for as long as jobs say.
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import contextlib
 import random
@@ -26,8 +27,7 @@
 from tests.sim.state import State
 
 HOST = "127.0.0.1"
-REPORT_S, TASK_S, BOOT_S = 1.0, 1.0, 0.5
-MOST_MACHINES = 40
+REPORT_S, BOOT_S, LEASE_S = 1.0, 0.5, 12.0
 KIND = {
     "label": "small", "vcpus": 4, "cards": 0, "ram_gb": 32, "cache_gb": 50, "pull_gb_per_s": 2.0,
     "rate": 1.0, "market_price": 0.3, "startup_s": 1, "wards": ["a", "b"],
@@ -78,11 +78,15 @@
         await asyncio.sleep(BOOT_S)
         clients = [HttpClient(addr) for addr in self.cloud.controllers]
         at = tick = token = 0
+        tenure, answered = 1, time.monotonic()
         # Cancelling alone does not end it for sure: asyncio.wait_for of Python 3.11 loses a
         # cancellation that comes together with its result.
         while self.name in self.cloud.machines:
             tick += 1
             now = time.monotonic()
+            if now - answered > LEASE_S:
+                self.stop(list(self.tasks))
+                tenure, answered = tenure + 1, now
             parcels = [
                 {"parcel": name, "try": attempt, "standing": "running"}
                 if now < end
@@ -91,7 +95,7 @@
             ]
             report = {
                 "hall": self.name, "endpoint": "", "build": "small", "ward": self.zone,
-                "standby": self.spot, "tenure": 1, "tick": tick, "mandate": token,
+                "standby": self.spot, "tenure": tenure, "tick": tick, "mandate": token,
                 "recall_s": None, "parcels": parcels,
             }  # fmt: skip
             try:
@@ -105,6 +109,7 @@
                 return
             if status == 200 and answer["mandate"] >= token:
                 token = answer["mandate"]
+                answered = now
                 self.execute(answer["writs"])
                 await asyncio.sleep(REPORT_S)
                 continue
@@ -119,16 +124,23 @@
                 started = {"machine": self.name, "task": name, "attempt": order["try"]}
                 if name not in self.tasks:
                     self.cloud.log.write("start", started)
-                self.tasks.setdefault(name, (order["try"], time.monotonic() + TASK_S))
+                ends = time.monotonic() + self.cloud.task_s
+                self.tasks.setdefault(name, (order["try"], ends))
             else:
-                self.tasks.pop(name, None)
+                self.stop([name])
+
+    def stop(self, names: list[str]) -> None:
+        for name in names:
+            if self.tasks.pop(name, (0, 0.0))[1] > time.monotonic():
+                self.cloud.log.write("stop", {"machine": self.name, "task": name})
 
 
 class Cloud:
     """Rents machines, and logs what it carries out."""
 
-    def __init__(self, log: Log, controllers: list[str]) -> None:
+    def __init__(self, log: Log, controllers: list[str], machines: int, task_s: float) -> None:
         self.log, self.controllers = log, controllers
+        self.most, self.task_s = machines, task_s
         self.machines: dict[str, Machine] = {}
         self.answers: dict[str, list[str]] = {}
         self.made = 0
@@ -150,13 +162,14 @@
             for name in raw["halls"]:
                 machine = self.machines.pop(name, None)
                 if machine is not None:
+                    machine.stop(list(machine.tasks))
                     machine.task.cancel()
             return body.cbor_response(200, {})
         return self.rent(raw)
 
     def rent(self, raw: dict[str, Any]) -> Response:
         if raw["hire"] not in self.answers:
-            count = min(raw["how_many"], MOST_MACHINES - len(self.machines))
+            count = min(raw["how_many"], self.most - len(self.machines))
             if count <= 0:
                 return body.cbor_response(503, {"error": "no capacity"})
             names = []
@@ -172,10 +185,18 @@
 
 
 async def main(words: list[str]) -> None:
-    role, port, log = words[0], int(words[1]), Log(words[2])
-    if role == "store":
-        await serve_store(asyncio.get_running_loop(), port, log)
-    await HttpServer(Cloud(log, words[3:]).handle, 1000).start(HOST, port)
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("role", choices=["store", "cloud"])
+    parser.add_argument("port", type=int)
+    parser.add_argument("log", type=Log)
+    parser.add_argument("controllers", nargs="*")
+    parser.add_argument("--machines", type=int, default=40)
+    parser.add_argument("--task-s", type=float, default=1.0)
+    args = parser.parse_args(words)
+    if args.role == "store":
+        await serve_store(asyncio.get_running_loop(), args.port, args.log)
+    cloud = Cloud(args.log, args.controllers, args.machines, args.task_s)
+    await HttpServer(cloud.handle, 1000).start(HOST, args.port)
     await asyncio.Event().wait()
 
 
--- a/peathall/cells/service.py
+++ b/peathall/cells/service.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from dataclasses import dataclass
+from functools import cache
 from typing import Any, Protocol
 
 import msgspec
@@ -24,6 +25,7 @@
     HeartbeatAnswer,
     Offer,
     OfferAnswer,
+    RoomRow,
     UserAnswer,
     UserRequest,
     to_value,
@@ -114,6 +116,8 @@
         self.offering = 0
         self.unplaced: list[JobView] = []
         self.sequence = 0
+        self._rows: list[RoomRow] = []
+        self._summary_until = 0.0
         self.heard: dict[str, tuple[int, int]] = {}  # cell -> order of its latest heartbeat
 
     def _wake(self, cell: str) -> None:
@@ -208,10 +212,15 @@
         for ruling in answer.rulings:
             self.borrower.rule(cell.name, ruling, sent)
 
-    def _summary(self) -> list[Any]:
+    def _summary(self) -> list[RoomRow]:
+        """At most as old as a heartbeat: on thousands of machines it takes milliseconds."""
         if self.own.mode is not Mode.ON or not self.cluster.types:
             return []
-        return summarize(self.room.free_machines())
+        now = self.clock()
+        if now >= self._summary_until:
+            self._rows = summarize(self.room.free_machines())
+            self._summary_until = now + constants.CELL_HEARTBEAT_S / 2
+        return self._rows
 
     # --- what other cells ask ------------------------------------------------
     async def serve(self, path: str, raw: bytes) -> HttpAnswer:
@@ -306,11 +315,13 @@
                 self.spill.note_no_room(view.spec, now)
             return
         views = [view for view in views if self._may_offer(view.spec)]
-        machines = self.room.free_machines() if views else []
-        booting = self.room.booting_machines() if views else []
+
+        @cache
+        def machines() -> tuple[list[MachineView], list[tuple[float, MachineView]]]:
+            return self.room.free_machines(), self.room.booting_machines()
 
         def expected(spec: JobSpec) -> float:
-            return expected_wait_s(spec, machines, booting)
+            return expected_wait_s(spec, *machines())
 
         cells = list(self.cells.values())
         while views and self.offering < constants.CELL_OPERATIONS:
