--- a/bench/larger.py
+++ b/bench/larger.py
@@ -17,6 +17,8 @@
 import types
 from typing import Any
 
+from peathall.cells.settings import CellSettings, Neighbour
+from peathall.settings import Operator
 from tests.sim.fleet_day import FleetPlayer
 from tests.sim.net import Host, MemoryTransport, VirtualLoop
 from tests.sim.test_days import virtual
@@ -41,10 +43,16 @@
     return total
 
 
-def play(machines: int, share: float) -> None:
+# A neighbour that never answers: its heartbeats are made up all the same.
+CELLS = Operator(cells=CellSettings("here", [Neighbour("there", ["10.0.9.1:8081"])]))
+
+
+def play(machines: int, share: float, cells: bool) -> None:
     began = time.monotonic()
     with virtual(21) as loop:
         player = FleetPlayer(loop, machines, share)
+        if cells:
+            player.world.operators = dict.fromkeys(range(player.world.size), CELLS)
 
         async def day() -> int:
             await player.rent(LIMIT_S)
@@ -52,7 +60,7 @@
                 return 0
             await player.steady(STEADY_S)
             leader = player.leader()
-            kept = kept_bytes(leader.cluster) + kept_bytes(leader.workers.exits) if leader else 0
+            kept = kept_bytes([leader.cluster, leader.workers.exits]) if leader else 0
             if leader is not None:
                 await player.take_over(LIMIT_S)
             if player.leader() is not None:
@@ -77,6 +85,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--machines", type=int, nargs="+", default=[500, 1000, 2000, 4000])
     parser.add_argument("--share", type=float, default=0.0)
+    parser.add_argument("--cells", action="store_true", help="with cells on")
     parser.add_argument("--log", action="store_true")
     args = parser.parse_args()
     logging.getLogger("peathall").setLevel(logging.CRITICAL)
@@ -84,4 +93,4 @@
         logging.basicConfig(level=logging.INFO)
         logging.getLogger("peathall").setLevel(logging.INFO)
     for size in args.machines:
-        play(size, args.share)
+        play(size, args.share, args.cells)
