Cells: a dropped record is not brought back by a late commit

Change: with cells on the leader's writer fences a doubtful commit that turned out to be carried out, as holders of duties do. Tests: all controllers of a cell end, answers lost at each step, late commits, limits that fall.

--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -76,7 +76,9 @@
         self._lease_alive = may_act
         now = self.loop.time()
         self.cluster = ClusterState(mandate.term, first_attempt(mandate.term))
-        self.writer = Writer(store, params.state, mandate.record, may_act, depose)
+        # Records of handoffs are dropped within seconds: a late try must not bring one back.
+        fence_doubts = operator.cells is not None
+        self.writer = Writer(store, params.state, mandate.record, may_act, depose, fence_doubts)
         self.writer.versions[TERM] = mandate.record.version  # written in one commit
         if self.duties is not None:
             self.delegation = self.duties.delegate(mandate.term, self.writer)
--- a/tests/sim/test_cells.py
+++ b/tests/sim/test_cells.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterator
+from typing import Any
 
 import msgspec
 import pytest
@@ -123,6 +124,82 @@
     play(740, day)
 
 
+@pytest.mark.parametrize("back_s", [3.0, 45.0])
+@pytest.mark.parametrize("cell", [HOME, BORROWER])
+@pytest.mark.parametrize("step", STEPS)
+def test_all_controllers_of_a_cell_end_at_a_step(step: str, cell: int, back_s: float) -> None:
+    """Back before machines' leases end, or long after. An end that home did not hear is kept."""
+
+    async def day(cells: Cells) -> None:
+        world = cells.worlds[cell]
+
+        def crash() -> None:
+            world.troubled_until = cells.loop.now + 120.0
+            for index in range(3):
+                world.crash_node(index, back_s)
+
+        await handoff_with(cells, step, crash)
+        if step == "ended":
+            assert cells.judge.ran_in[cells.job_id(1)] == [BORROWER]
+
+    play(742, day)
+
+
+def writes(raw: dict[str, Any], step: str) -> bool:
+    phases = [op["data"].get("phase") for op in raw["apply"] if "phase" in (op.get("data") or ())]
+    return step in phases
+
+
+@pytest.mark.parametrize("step", [step for step in STEPS if step != "running"])
+def test_the_answer_to_the_commit_of_a_step_is_lost(step: str) -> None:
+    async def day(cells: Cells) -> None:
+        lost: list[str] = []
+
+        def lose(raw: dict[str, Any]) -> bool:
+            if lost or not writes(raw, step):
+                return False
+            lost.append(step)
+            return True
+
+        for world in cells.worlds:
+            world.state.on_commit = lose
+        await handoff_with(cells, step, lambda: None)
+        assert lost
+
+    play(744, day)
+
+
+@pytest.mark.parametrize("seed", range(745, 749))
+def test_commits_without_an_answer_are_carried_out_late(seed: int) -> None:
+    async def day(cells: Cells) -> None:
+        await full_beside_free(cells, 2)
+        for world in cells.worlds:
+            world.state.late = 0.2
+            world.troubled_until = cells.loop.now + 120.0
+        users = [cells.submit(HOME, number, run_s=6.0) for number in range(1, 5)]
+        await asyncio.sleep(40.0)
+        for world in cells.worlds:
+            world.state.late = 0.0
+        await asyncio.wait_for(asyncio.gather(*users), 300.0)
+        assert cells.judge.handoffs
+
+    play(seed, day)
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_the_limits_of_both_stores_fall_at_a_step(step: str) -> None:
+    """To 2 KiB a value and 4 changes a transaction, which the settings have told of."""
+
+    async def day(cells: Cells) -> None:
+        def fall() -> None:
+            for world in cells.worlds:
+                world.state.value_kb, world.state.txn_ops = 2.0, 4
+
+        await handoff_with(cells, step, fall)
+
+    play(749, day, next_limits=True)
+
+
 @pytest.mark.parametrize("cut_s", [0.0, 5.0, 60.0])
 @pytest.mark.parametrize("step", STEPS[:-1])
 def test_a_job_is_cancelled_at_a_step(step: str, cut_s: float) -> None:
@@ -430,7 +507,7 @@
     play(seed, day, 3)
 
 
-TROUBLES = ["crash", "vanish", "one way", "outage", "freeze", "machine", "lossy"]
+TROUBLES = ["crash", "vanish", "one way", "outage", "freeze", "machine", "lossy", "late"]
 
 
 def trouble(cells: Cells, kind: str) -> None:
@@ -451,6 +528,6 @@
         world.freeze_node(world.leader() or 0, rng.choice([1.0, 5.0, 30.0]))
     elif kind == "machine" and world.workers:
         rng.choice(list(world.workers.values())).die()
-    elif kind == "lossy":
-        world.state.lossy = 0.2
-        cells.loop.call_later(5.0, setattr, world.state, "lossy", 0.0)
+    elif kind in ("lossy", "late"):
+        setattr(world.state, kind, 0.2)
+        cells.loop.call_later(5.0, setattr, world.state, kind, 0.0)
