--- a/tests/sim/test_cells_command.py
+++ b/tests/sim/test_cells_command.py
@@ -18,8 +18,7 @@
 from peathall.wire.http import HttpClient
 from tests.sim.cells_world import Cells, gang, play
 from tests.sim.net import Host
-from tests.sim.test_duties_command import controller
-from tests.unit.test_settings import TEXT
+from tests.sim.test_duties_command import check_refuses, controller
 
 DEPLOYED = Path(__file__).parents[2] / "deploy" / "cells.textproto"
 
@@ -48,13 +47,7 @@
 def test_a_wrong_section_ends_the_start_with_one_line(
     text: str, named: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    config, operator = tmp_path / "x.toml", tmp_path / "cells.textproto"
-    config.write_text(TEXT)
-    operator.write_text(text)
-    words = ["--config", str(config), "--operator-config", str(operator), "--check"]
-    assert cli.main(words) == 2
-    err = capsys.readouterr().err
-    assert named in err and err.count("\n") == 1
+    check_refuses(text, named, tmp_path, capsys)
 
 
 def test_messages_that_are_refused() -> None:
--- a/tests/sim/test_duties_command.py
+++ b/tests/sim/test_duties_command.py
@@ -47,15 +47,21 @@
 def test_a_wrong_section_ends_the_start_with_one_line(
     text: str, named: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    config, operator = tmp_path / "x.toml", tmp_path / "peathall.textproto"
+    operator = check_refuses(text, named, tmp_path, capsys)
+    with pytest.raises(SettingsError):
+        load_operator(str(operator))
+
+
+def check_refuses(text: str, named: str, folder: Path, capsys: pytest.CaptureFixture[str]) -> Path:
+    """`--check` says in one line what is wrong with the operators' file, and exits with 2."""
+    config, operator = folder / "x.toml", folder / "peathall.textproto"
     config.write_text(TEXT)
     operator.write_text(text)
     words = ["--config", str(config), "--operator-config", str(operator), "--check"]
     assert cli.main(words) == 2
     err = capsys.readouterr().err
     assert named in err and err.count("\n") == 1
-    with pytest.raises(SettingsError):
-        load_operator(str(operator))
+    return operator
 
 
 RECORDS = {
