--- a/tests/sim/test_cells_command.py
+++ b/tests/sim/test_cells_command.py
@@ -15,7 +15,7 @@
 from peathall.cells.status import CellsStatus, CellStatus, HandoffStatus
 from peathall.modes import Mode
 from peathall.operator_file import load_operator
-from peathall.wire.http import HttpClient
+from peathall.wire.http import HttpClient, Request, Response
 from tests.sim.cells_world import Cells, gang, play
 from tests.sim.net import Host
 from tests.sim.test_duties_command import check_refuses, controller
@@ -29,6 +29,36 @@
     assert operator.cells is not None and len(operator.cells.neighbour[0].controller) == 3
 
 
+def test_off_nothing_is_stored_asked_or_sent() -> None:
+    """No key of handoffs is written, read or depended on, `term` is as it was, and a message of
+    another cell is not known."""
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+
+    async def day(cells: Cells) -> None:
+        world = cells.worlds[0]
+        world.operators = {}
+        keys: list[str] = []
+        carry_out = world.state.carry_out
+
+        async def note(request: Request) -> Response:
+            keys.append(f"{request.path}?{request.query} {request.body!r}")
+            return await carry_out(request)
+
+        monkey = pytest.MonkeyPatch()
+        monkey.setattr(world.state, "carry_out", note)
+        await cells.begin()
+        await cells.submit(0, 1, run_s=2.0)
+        monkey.undo()
+        assert keys and not [k for k in keys if "handoff/" in k or "borrowed/" in k or "cell" in k]
+        assert list(world.state.data["term"][0]) == ["n"]
+        client = HttpClient("10.0.0.1:8081", keep=0)
+        context = world.context(Host("10.9.9.9"))
+        work = client.request("POST", "/cells/heartbeat", b"{}", 5.0)
+        assert (await cells.loop.create_task(work, context=context))[0] == 404
+
+    play(845, day)
+
+
 SOUTH = 'neighbour { name: "south" controller: "10.0.1.1:8081" }'
 
 
