--- a/bench/cost.py
+++ b/bench/cost.py
@@ -48,7 +48,7 @@
     workers = Workers(cluster, params.workers, now, lambda: True, lambda job: None, lambda: None, 9)
     writer: Any = SimpleNamespace(versions={}, submit=lambda ops: None)
     demand: Any = SimpleNamespace(note_unplaced=lambda plan: None)
-    placement = Placement(cluster, params, writer, workers, lambda: 0.0, lambda: True, demand)
+    placement = Placement(cluster, params, writer, workers, lambda: 0.0, lambda: True, [demand])
     for i in range(machines):
         m = cluster.machine(f"m-{i:06d}", "g", "ab"[i % 2], False, MachinePhase.UP, now)
         m.confirmed = True
--- /dev/null
+++ b/peathall/cells/room.py
@@ -0,0 +1,39 @@
+"""Summaries of free room: small enough to be sent each second, and a hint only. Pure."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+from peathall import constants
+from peathall.cells.model import RoomRow
+from peathall.placement.views import MachineView, allowed, fits_in
+from peathall.wire.names import JobSpec
+
+
+def summarize(machines: Iterable[MachineView]) -> list[RoomRow]:
+    """Rows of like machines, those with the most room first, and no more than are sent."""
+    count: Counter[RoomRow] = Counter()
+    for machine in machines:
+        cpus, gpus, ram = (max(0, int(amount)) for amount in machine.free)
+        if cpus or gpus:
+            count[RoomRow(machine.type, machine.zone, machine.spot, cpus, gpus, ram, 1)] += 1
+    rows = [
+        RoomRow(row.type, row.zone, row.spot, row.cpus, row.gpus, row.ram, machines)
+        for row, machines in count.items()
+    ]
+    rows.sort(key=lambda row: (-row.gpus, -row.cpus, -row.machines, row.type, row.zone))
+    return rows[: constants.CELL_ROOM_ROWS]
+
+
+def fits_whole(spec: JobSpec, rows: Sequence[RoomRow]) -> bool:
+    """Whether all tasks of the job seem to find room at once."""
+    by_zone: Counter[str] = Counter()
+    for row in rows:
+        if not allowed(row, spec):
+            continue
+        by_zone[row.zone] += fits_in((row.cpus, row.gpus, row.ram), spec) * row.machines
+    if spec.one_zone:
+        return max(by_zone.values(), default=0) >= spec.tasks
+    most = (spec.tasks + 1) // 2 if spec.spread else spec.tasks
+    return sum(min(count, most) for count in by_zone.values()) >= spec.tasks
--- /dev/null
+++ b/peathall/cells/settings.py
@@ -0,0 +1,42 @@
+"""The `cells` section of the operators' file."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from peathall.modes import Mode
+from peathall.setting_types import Address, Name
+
+LeaseSeconds = Annotated[float, Meta(ge=3.0, le=600.0)]
+
+
+class Neighbour(Struct, frozen=True, forbid_unknown_fields=True):
+    """Another cell, and the addresses at which its controllers hear other controllers."""
+
+    name: Name
+    controller: Annotated[list[Address], Meta(min_length=1)]
+
+
+class CellSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """This cell's name, its neighbours, and the lease on what they borrow."""
+
+    name: Name
+    neighbour: list[Neighbour] = []
+    mode: Mode = Mode.ON
+    lease_s: LeaseSeconds = 30.0
+
+    def problem(self, lapse_s: float) -> str | None:
+        """What is wrong with the section, in one line; `lapse_s` as of the workers' settings."""
+        names = [self.name, *(neighbour.name for neighbour in self.neighbour)]
+        twice = next((name for name in names if names.count(name) > 1), None)
+        if twice is not None:
+            return f"cells: {twice} is named twice"
+        if self.lease_s < lapse_s:
+            # A shorter break than a machine's own would end what the machine survives.
+            return (
+                f"cells.lease_s: {self.lease_s:g} must be at least {lapse_s:g}, the longest that"
+                " a machine cut off keeps its tasks"
+            )
+        return None
--- /dev/null
+++ b/peathall/cells/spill.py
@@ -0,0 +1,190 @@
+"""Which waiting jobs are offered to which cell: a greedy rule with hysteresis. Pure.
+
+An urgent job is offered once it has waited for a moment, would miss its next aim at home, and
+should start sooner elsewhere by more than a handoff is worth. What home expects is an estimate;
+once the time that it named is over, it no longer speaks against an offer.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Container, Iterable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from peathall import constants
+from peathall.cells.model import RoomRow
+from peathall.cells.room import fits_whole
+from peathall.placement.room import free_in
+from peathall.placement.views import JobView, MachineView, allowed
+from peathall.settings import Objective
+from peathall.wire.names import JobSpec, Priority
+
+
+@dataclass(slots=True)
+class Backoff:
+    """Doubles with each failure, with jitter, and is over with a success."""
+
+    least_s: float
+    most_s: float
+    failures: int = 0
+    until: float = 0.0
+
+    def failed(self, now: float, rng: random.Random) -> None:
+        """Not before a while from now."""
+        pause = min(self.most_s, self.least_s * 2**self.failures)
+        self.failures += 1
+        self.until = now + pause * (0.5 + rng.random() / 2)
+
+    def succeeded(self) -> None:
+        """At once again."""
+        self.failures, self.until = 0, 0.0
+
+
+class CellRoom(Protocol):
+    """What is known of another cell."""
+
+    name: str
+
+    def rows(self, now: float) -> Sequence[RoomRow]:
+        """Its free room as it told it lately; none if that is too long ago."""
+
+
+@dataclass(slots=True)
+class WaitingJob:
+    """A job without room at home."""
+
+    since: float  # steady time
+    expected_at: float  # steady time at which it should start at home, as first estimated
+    why: str = ""  # why it stays, for operators
+    retries: Backoff = field(
+        default_factory=lambda: Backoff(constants.CELL_RETRY_S, constants.CELL_RETRY_MOST_S)
+    )
+
+
+def is_urgent(spec: JobSpec, objectives: Iterable[Objective]) -> bool:
+    """Whether its class has an aim for the wait, and its priority is above the ordinary."""
+    return spec.priority < Priority.STANDARD and any(
+        aim.kind == "wait" and aim.class_name == spec.class_name for aim in objectives
+    )
+
+
+def expected_wait_s(
+    spec: JobSpec, machines: Iterable[MachineView], booting: Iterable[tuple[float, MachineView]]
+) -> float:
+    """Seconds until all of the job should find room at home at once, by what ends there and what
+    is on its way; more than any wait if that can't be told."""
+    coming: list[tuple[float, str, int]] = []
+    for machine in machines:
+        if allowed(machine, spec):
+            wait, count = free_in(machine, spec)
+            coming.append((wait, machine.zone, count))
+    for wait, machine in booting:
+        if allowed(machine, spec):
+            coming.append((wait, machine.zone, machine.fits(spec)))
+    found: dict[str, int] = {}
+    for wait, zone, count in sorted(coming):
+        group = zone if spec.one_zone else ""
+        found[group] = found.get(group, 0) + count
+        if found[group] >= spec.tasks:
+            return wait
+    return constants.CELL_UNKNOWN_WAIT_S
+
+
+class SpillRule:
+    """Remembers for how long jobs have waited, and whom it is of no use to ask."""
+
+    def __init__(self, objectives: Sequence[Objective], rng: random.Random) -> None:
+        self.objectives = objectives
+        self.rng = rng
+        self.waiting: dict[str, WaitingJob] = {}
+        self.cells: dict[str, Backoff] = {}
+        self.handoffs: Counter[str] = Counter()  # of each live job, in this term
+
+    def candidates(self, unplaced: Iterable[JobView], live: Container[str] = ()) -> list[JobView]:
+        """Jobs that may be handed off at all, in the order of the round; `live` are all jobs."""
+        found = [
+            view
+            for view in unplaced
+            if is_urgent(view.spec, self.objectives)
+            and not (view.spec.daemon or view.borrowed or view.probe or view.running_zones)
+            and view.todo == view.spec.tasks <= constants.CELL_TASKS_MOST
+        ]
+        kept = {view.spec.id for view in found}
+        self.waiting = {job: wait for job, wait in self.waiting.items() if job in kept}
+        for job in [job for job in self.handoffs if job not in live]:
+            del self.handoffs[job]
+        return found
+
+    def choose(
+        self,
+        views: Iterable[JobView],
+        cells: Sequence[CellRoom],
+        expected: Callable[[JobSpec], float],
+        now: float,
+        wall: float,
+    ) -> tuple[JobView, CellRoom] | None:
+        """The first job that is to be offered, and to whom."""
+        for view in views:
+            cell, why = self._target(view, cells, expected, now, wall)
+            self.waiting[view.spec.id].why = why
+            if cell is not None:
+                return view, cell
+        return None
+
+    def _target(
+        self,
+        view: JobView,
+        cells: Sequence[CellRoom],
+        expected: Callable[[JobSpec], float],
+        now: float,
+        wall: float,
+    ) -> tuple[CellRoom | None, str]:
+        spec = view.spec
+        wait = self.waiting.get(spec.id)
+        if wait is None:
+            wait = self.waiting[spec.id] = WaitingJob(now, now + expected(spec))
+        if self.handoffs[spec.id] >= constants.CELL_HANDOFFS_MOST:
+            return None, "it was handed off too often already"
+        if now < max(wait.since + constants.CELL_PATIENCE_S, wait.retries.until):
+            return None, "it has waited, or was refused, only just now"
+        elsewhere_s = constants.CELL_HANDOFF_S + view.fetch_s
+        at_home_s = wait.expected_at - now
+        if at_home_s < -constants.CELL_GAIN_S:
+            at_home_s = constants.CELL_UNKNOWN_WAIT_S  # the estimate was wrong
+        if at_home_s < elsewhere_s + constants.CELL_GAIN_S:
+            return None, "it should start about as soon at home"
+        if not view.aged and view.latest_start - wall > at_home_s:
+            return None, "it meets its next aim at home, or none any more"
+        return self._with_room(spec, cells, now)
+
+    def _with_room(
+        self, spec: JobSpec, cells: Sequence[CellRoom], now: float
+    ) -> tuple[CellRoom | None, str]:
+        ready = [cell for cell in cells if now >= self._backoff(cell.name).until]
+        for cell in ready:
+            if fits_whole(spec, cell.rows(now)):
+                return cell, "it is being offered"
+        return None, "no cell has told of room for all of it" if ready else "cells refused lately"
+
+    def _backoff(self, cell: str) -> Backoff:
+        return self.cells.setdefault(
+            cell, Backoff(constants.CELL_RETRY_S, constants.CELL_RETRY_MOST_S)
+        )
+
+    def note_no_room(self, spec: JobSpec, now: float) -> None:
+        """Nobody has told of room lately: there is nothing to weigh."""
+        wait = self.waiting.setdefault(spec.id, WaitingJob(now, now))
+        wait.why = "no cell has told of room lately"
+
+    def note_outcome(self, job: str, cell: str, granted: bool, now: float) -> None:
+        """What became of an offer."""
+        wait = self.waiting.get(job)
+        self.handoffs[job] += granted
+        if wait is not None:
+            wait.retries.failed(now, self.rng)
+        if granted:
+            self._backoff(cell).succeeded()
+        else:
+            self._backoff(cell).failed(now, self.rng)
--- a/peathall/cli.py
+++ b/peathall/cli.py
@@ -52,7 +52,11 @@
     if words[:1] == ["duties"]:
         from peathall.duties import command
 
-        return command.main(words[1:])
+        return command.COMMAND.main(words[1:])
+    if words[:1] == ["cells"]:
+        from peathall.cells.command import COMMAND
+
+        return COMMAND.main(words[1:])
     args = build_parser().parse_args(words)
     level = os.environ.get("LOG_LEVEL", "info").lower()
     logging.basicConfig(
@@ -70,6 +74,9 @@
             from peathall.operator_file import load_operator
 
             operator = load_operator(args.operator_config)
+            problem = operator.cells and operator.cells.problem(config.params.workers.lapse_s)
+            if problem:
+                raise settings.SettingsError(f"{args.operator_config}: {problem}")
     except settings.SettingsError as exc:
         print(f"peathall: {exc}", file=sys.stderr)
         return 2
--- a/peathall/cluster.py
+++ b/peathall/cluster.py
@@ -12,7 +12,7 @@
 
 from peathall import constants
 from peathall.jobs.model import Attempt, AttemptPhase, Job
-from peathall.wire.names import MachineType, Standing
+from peathall.wire.names import JobSpec, MachineType, Standing
 from peathall.workers.model import Machine, MachinePhase
 
 log = logging.getLogger("peathall.cluster")
@@ -85,6 +85,18 @@
         self.rounds.setdefault(round_key, {})[attempt] = None
         return attempt
 
+    def book_elsewhere(self, spec: JobSpec) -> None:
+        """All of the job may run in another cell: its team's limit counts it here as well."""
+        use = self.usage.setdefault(spec.team, [0.0, 0.0])
+        use[0] += spec.cpus * spec.tasks
+        use[1] += spec.gpus * spec.tasks
+
+    def release_elsewhere(self, spec: JobSpec) -> None:
+        """Nothing of the job is in another cell any more."""
+        use = self.usage[spec.team]
+        use[0] -= spec.cpus * spec.tasks
+        use[1] -= spec.gpus * spec.tasks
+
     def release(self, attempt: Attempt, now: float) -> None:
         """The attempt is surely not on its machine, nor will it ever be."""
         if attempt.phase is AttemptPhase.GONE:
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -188,3 +188,25 @@
 DUTY_LEADER_WRITES = 0.5  # of the changes a second, while holders write beside the leader
 DUTY_CLOUD_SHARE = 0.3  # of the cloud's calls for each holder; the leader's looks need 0.4
 DUTY_CLAIM_STEP_S = 0.001  # s; timers fire in steps of about this: no shorter wait is begun
+
+# --- cells ------------------------------------------------------------------
+CELL_HEARTBEAT_S = 1.0  # s; between heartbeats to each other cell: many tries fit into any lease
+CELL_SOON_S = 0.15  # s; before a heartbeat that brings news, so that several share it
+CELL_TIMEOUT_S = 2.0  # s; another cell answers in milliseconds, or after two commits of its store
+CELL_OFFER_S = 3.0  # s; an offer waits for a round and a commit of the borrower
+CELL_TAKEOVER_S = 1.0  # s; a new leader asks for its leases for so long before it serves; check-ins
+# meanwhile are held for 1.5 s
+CELL_RETRY_S = 2.0  # s; before a cell, or a job, that was refused is tried again; doubled
+CELL_RETRY_MOST_S = 60.0  # s; at most
+CELL_RESERVATION_S = 8.0  # s; room is kept for an offer: an offer and a grant each take two commits
+CELL_UNPLACED_S = 15.0  # s; a borrowed job without a place for so long goes back
+CELL_BORROWED_MOST = 64  # jobs borrowed at a time: each is named in every heartbeat, some 120 bytes
+CELL_TASKS_MOST = 64  # tasks of a job that is handed off: all of them have to find room at once
+CELL_HANDOFFS_MOST = 3  # of one job in a term, so that it does not wander
+CELL_ROOM_ROWS = 64  # of a summary of room, some 40 bytes each
+CELL_ROOM_FRESH_S = 5.0  # s; an older summary is not looked at
+CELL_OPERATIONS = 4  # offers under way at a time
+CELL_PATIENCE_S = 3.0  # s; a job waits for so long at home, since stops that make room take as long
+CELL_HANDOFF_S = 2.0  # s; an offer, two commits on either side and a round, as measured
+CELL_GAIN_S = 4.0  # s; by which it must start sooner elsewhere
+CELL_UNKNOWN_WAIT_S = 3600.0  # s; stands for a wait that can't be estimated
--- a/peathall/duties/gate.py
+++ b/peathall/duties/gate.py
@@ -8,8 +8,9 @@
 
 import logging
 
-from peathall.duties.model import MARK, Mode
+from peathall.duties.model import MARK
 from peathall.leadership.election import CampaignTerms
+from peathall.modes import Mode
 from peathall.store.client import Put, StateClient
 
 log = logging.getLogger("peathall.duties")
--- a/peathall/duties/service.py
+++ b/peathall/duties/service.py
@@ -27,7 +27,6 @@
     Duty,
     DutyPhase,
     HolderRecord,
-    Mode,
     Outcome,
     to_value,
 )
@@ -36,6 +35,7 @@
 from peathall.duties.writes import DelegatedWrites
 from peathall.fleet.client import CloudClient
 from peathall.leadership.election import LEAD, LeadValue
+from peathall.modes import Mode
 from peathall.settings import Settings
 from peathall.store.client import ConflictError, Drop, Item, StateClient, StoreError
 from peathall.store.writer import Writer
--- a/peathall/jobs/archive.py
+++ b/peathall/jobs/archive.py
@@ -138,7 +138,8 @@
         """Whether it may be archived: while a second record holds it, or is about to, a new leader
         that reads that one would bring it back to life."""
         alone = job.spec.id not in self.duplicates and job.record_key not in self.dividing
-        return job.over and not job.attempts and not job.writing and alone
+        here = not (job.held or job.borrowed)
+        return job.over and not job.attempts and not job.writing and alone and here
 
     def _archive_change(self, record_key: str) -> Change | None:
         """Some of a record's jobs that are over, and the record without them."""
--- a/peathall/jobs/fallback.py
+++ b/peathall/jobs/fallback.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 
 from peathall import constants
+from peathall.cells.model import BORROWED
 from peathall.jobs import records
 from peathall.jobs.live import Live
 from peathall.jobs.service import NOT_NOW, Answer, can_never_run
@@ -23,7 +24,8 @@
     not archived is known from `live`; how an archived job ended never changes, so that what
     was read of it saves later reads."""
 
-    def __init__(self, store: StateClient, params: Params) -> None:
+    def __init__(self, store: StateClient, params: Params, cells: bool = False) -> None:
+        self.cells = cells  # jobs of other cells may stand in the store as well
         self.store = store
         self.params = params
         self.live = Live(store)
@@ -55,7 +57,8 @@
             return 200, names.job_status(job_id, Standing.QUEUED)
         past = await self.store.get(records.PAST + job_id)
         if past is None:
-            return None
+            borrowed = self.cells and await self.store.get(BORROWED + job_id) is not None
+            return NOT_NOW if borrowed else None  # its home is asked by the leader
         return self._learn(job_id, final(job_id, records.read_final(past.value)))
 
     async def accept(self, spec: JobSpec) -> Answer:
@@ -70,8 +73,9 @@
             if why is not None:
                 return await self._known(spec.id) or (422, {"error": why})
             try:
+                absent = [records.JOB, records.PAST, *([BORROWED] if self.cells else [])]
                 await self.store.commit(
-                    {records.JOB + spec.id: 0, records.PAST + spec.id: 0},
+                    {key + spec.id: 0 for key in absent},
                     [Put(records.JOB + spec.id, names.spec_to_record(spec))],
                 )
                 return 201, names.job_status(spec.id, Standing.QUEUED)
--- a/peathall/jobs/service.py
+++ b/peathall/jobs/service.py
@@ -13,6 +13,7 @@
 from peathall.jobs.archive import JobArchive
 from peathall.jobs.background import BackgroundTasks
 from peathall.jobs.model import Job, JobPhase
+from peathall.jobs.remote import NothingRemote, RemoteRuns
 from peathall.settings import Params
 from peathall.store.client import Change as StoreChange
 from peathall.store.client import (
@@ -73,7 +74,9 @@
         on_cancelled: Callable[[Job], None],
         wall: Callable[[], float],
         cleanup: Offers | None = None,
+        remote: RemoteRuns | None = None,
     ) -> None:
+        self.remote = remote or NothingRemote()
         self.cleanup = cleanup or writer
         self.cluster = cluster
         self.params = params
@@ -188,6 +191,7 @@
         record = names.spec_to_record(spec)
         # Neither archived, nor accepted by another controller.
         absent = {records.PAST + spec.id: 0, records.JOB + spec.id: 0}
+        absent |= self.remote.accept_conditions(spec.id)
         pending = self.accepting[spec.id] = self.new_jobs.add(record, absent)
         try:
             record_key = await pending
@@ -200,6 +204,12 @@
         self.adopt(record, record_key)
         return 201, names.job_status(spec.id, Standing.QUEUED)
 
+    def knows(self, job_id: str) -> bool:
+        """Whether a user of this cell has submitted a job of that name, as far as memory tells."""
+        job = self.cluster.jobs.get(job_id)
+        own = job is not None and not job.borrowed
+        return own or job_id in self.accepting or job_id in self.cluster.past
+
     async def _known(self, job_id: str) -> Answer | None:
         pending = self.accepting.get(job_id)
         if pending is not None:
@@ -256,9 +266,11 @@
                 return known  # over for good
         job = self.cluster.jobs[job_id]
         await self._cancel(job)
-        return 200, self.status(job)
+        return (200, self.status(job)) if job.over else NOT_NOW
 
     async def _cancel(self, job: Job) -> None:
+        """Until it is stored; or until it turns out that a task may still be in another cell for
+        too long, in which case it is tried again each second."""
         while not job.over:
             if job.settling is not None:
                 await asyncio.wait([job.settling])
@@ -268,6 +280,8 @@
             # are answered without the stop, their leases go on.
             job.enter(JobPhase.CANCELLING)
             self.on_cancelled(job)
+            if not self.remote.may_confirm_cancel(job):
+                return
             await self._settle(job, Standing.CANCELLED)
 
     # --- fates ---------------------------------------------------------------
@@ -289,6 +303,9 @@
         if job.writing or job.phase is not JobPhase.ACTIVE:
             return
         if len(job.done) >= job.spec.tasks:
+            if job.borrowed:
+                self.remote.finish_borrowed(job)
+                return
             job.writing = True
             self.background.spawn(self._finish(job))
         else:
@@ -308,7 +325,8 @@
     def _done_change(self, job: Job) -> Change | None:
         """The first block with news; the others follow, one by one."""
         news = job.done.first_outside(job.stored)
-        if news is None or job.phase is not JobPhase.ACTIVE:
+        gone = self.cluster.jobs.get(job.spec.id) is not job  # borrowed, and over
+        if news is None or gone or job.phase is not JobPhase.ACTIVE:
             return None
         block = news // self.block
         record = records.done_record(job.done, block, self.block)
--- a/peathall/leader.py
+++ b/peathall/leader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Awaitable, Callable, Coroutine, Iterator
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Any
@@ -15,10 +16,11 @@
 from peathall.jobs import records
 from peathall.jobs.model import Job
 from peathall.jobs.service import NOT_NOW, Answer, Jobs
-from peathall.leadership.election import Mandate
+from peathall.leadership.election import TERM, Mandate
 from peathall.leadership.lease import first_attempt
 from peathall.placement.rounds import ROUND
 from peathall.placement.service import Placement
+from peathall.placement.views import Plan
 from peathall.settings import Operator, Settings
 from peathall.store.client import StateClient, StoreError
 from peathall.store.writer import Writer, WriterPhase
@@ -28,10 +30,14 @@
 from peathall.workers.suspects import SUSPECTS, Suspects
 
 if TYPE_CHECKING:
+    from peathall.cells.service import CellLeader, CellRecords
     from peathall.duties.service import Delegation, Duties
 
 log = logging.getLogger("peathall.leader")
 
+# What a user may ask of a job that another cell answers for.
+QUERY, CANCEL = "query", "cancel"
+
 
 class LeaderPhase(Enum):
     """A term begins with a rebuild from the records."""
@@ -56,6 +62,7 @@
         wall: Callable[[], float],
         reporting_elsewhere: Callable[[], dict[str, tuple[int, int]]],
         duties: Duties | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self.duties = duties if mandate.delegates else None
         self.delegation: Delegation | None = None
@@ -69,6 +76,7 @@
         now = self.loop.time()
         self.cluster = ClusterState(mandate.term, first_attempt(mandate.term))
         self.writer = Writer(store, params.state, mandate.record, may_act, depose)
+        self.writer.versions[TERM] = mandate.record.version  # written in one commit
         if self.duties is not None:
             self.delegation = self.duties.delegate(mandate.term, self.writer)
         self.workers = Workers(
@@ -95,6 +103,7 @@
             self._cancelled,
             wall,
             self.delegation.cleanup if self.delegation is not None else None,
+            self,
         )
         self.fleet = Fleet(
             self.cluster,
@@ -114,12 +123,35 @@
             self.workers,
             wall,
             self.may_act,
-            self.fleet,
+            [self.fleet, self],
             self.delegation.reclaiming if self.delegation is not None else None,
         )
         self.cluster.on_room = self._request_round
+        self.cells = self._make_cells(operator, wall, rng or random.Random())
         self.requests: set[asyncio.Task[Answer]] = set()
 
+    def _make_cells(
+        self, operator: Operator, wall: Callable[[], float], rng: random.Random
+    ) -> CellLeader | None:
+        if operator.cells is None:
+            return None
+        # Imported here only: a controller without cells does not spend the memory.
+        from peathall.cells.service import CellLeader
+
+        return CellLeader(
+            operator.cells,
+            self.cluster,
+            self.settings.params,
+            self.writer,
+            self.jobs,
+            self.placement,
+            self,
+            wall,
+            self.may_act,
+            self._lease_alive,
+            rng,
+        )
+
     def enter(self, phase: LeaderPhase) -> None:
         """The one way to change the phase; OVER is never left."""
         if self.phase is not LeaderPhase.OVER:
@@ -142,6 +174,29 @@
         for attempt in list(job.attempts.values()):
             self.workers.stop(attempt, 0.0, now)
 
+    def stop_all(self, job: Job) -> None:
+        """Every answer from now on ends the job's tasks, and starts under way are refused."""
+        self._cancelled(job)
+
+    # --- other cells ---------------------------------------------------------
+    def may_confirm_cancel(self, job: Job) -> bool:
+        """Whether all of the job must be gone within `cancel_s` from now, wherever it is."""
+        return self.cells is None or self.cells.home.may_confirm_cancel(job)
+
+    def finish_borrowed(self, job: Job) -> None:
+        """All tasks of a job of another cell are done."""
+        if self.cells is not None:
+            self.cells.borrower.finish(job)
+
+    def accept_conditions(self, job_id: str) -> dict[str, int]:
+        """A job that is borrowed under that name may not be accepted as well."""
+        return {} if self.cells is None else self.cells.accept_conditions(job_id)
+
+    def note_unplaced(self, plan: Plan) -> None:
+        """What a round found no room for may be handed to another cell."""
+        if self.cells is not None:
+            self.cells.note_unplaced(plan)
+
     # --- life ----------------------------------------------------------------
     async def run(self) -> None:
         """Rebuild, then serve until the term is over."""
@@ -149,6 +204,8 @@
         tasks = [writing]
         try:
             await self._rebuild()
+            if self.cells is not None:
+                await self.cells.take_over()
             self.enter(LeaderPhase.SERVING)
             self.jobs.resume()
             self.ready.set()
@@ -166,6 +223,8 @@
             ):
                 tasks.append(asyncio.create_task(coro))
             tasks += [asyncio.create_task(coro) for coro in self._delegating()]
+            if self.cells is not None:
+                tasks += [asyncio.create_task(coro) for coro in self.cells.loops()]
             done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 if not task.cancelled() and task.exception() is not None:
@@ -173,6 +232,8 @@
         finally:
             self.enter(LeaderPhase.OVER)
             self.writer.stop()
+            if self.cells is not None:
+                self.cells.close()
             self.jobs.close()
             self.workers.close()
             for task in tasks:
@@ -205,6 +266,7 @@
                 caches, _ = await self.store.scan(CACHE)
                 suspects = await self.store.get(SUSPECTS)
                 condemned = await self.duties.condemned() if self.duties is not None else set()
+                cells = await self._read_cells()
                 break
             except StoreError as exc:
                 log.info("reading the records: %s", exc)
@@ -212,17 +274,26 @@
         if types is not None:
             self.writer.versions[TYPES] = types.version
             self.fleet.load_types(types.value)
+        if self.cells is not None and cells is not None:
+            self.cells.load(cells)
         self.jobs.load(live, done, revision)
+        if self.cells is not None and cells is not None:
+            self.cells.load_handoffs(cells)
         self.caches.load(caches)
         self.suspects.load(suspects)
         self.fleet.condemn(condemned, self.loop.time())
         self.placement.rounds.load(rounds, self.loop.time())
         self.workers.took_over = self.loop.time()
 
+    async def _read_cells(self) -> CellRecords | None:
+        return None if self.cells is None else await self.cells.read_records(self.store)
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(constants.TICK_S)
             if self.may_act():
+                if self.cells is not None:
+                    self.cells.tick(self.loop.time())
                 self.workers.tick(self.loop.time())
                 self.placement.rounds.compact(self.loop.time())
                 if self.loop.time() - self.workers.took_over > constants.FORGET_CACHES_S:
@@ -240,6 +311,8 @@
                 return 503, None
         if not self.may_act():
             return 503, None
+        if self.cells is not None:
+            self.cells.borrower.stop_lapsed(self.loop.time())
         return self.workers.checkin(report, self.loop.time())
 
     async def _bounded(self, work: Awaitable[Answer], limit: float) -> Answer:
@@ -264,12 +337,16 @@
         """A submission."""
         if self._cannot_write():
             return NOT_NOW
+        if self.cells is not None and self.cells.home_of(spec.id):
+            return await self.cells.ask_home(QUERY, spec.id)  # it is accepted, by its home
         return await self._bounded(self.jobs.accept(spec), constants.ACCEPT_S)
 
     async def query(self, job_id: str) -> Answer:
         """A poll."""
         if not self.may_act():
             return NOT_NOW
+        if self.cells is not None and self.cells.home_of(job_id):
+            return await self.cells.ask_home(QUERY, job_id)
         told = self.jobs.told(job_id)
         if told is not None:
             return told
@@ -279,4 +356,6 @@
         """A cancellation."""
         if self._cannot_write():
             return NOT_NOW
+        if self.cells is not None and self.cells.home_of(job_id):
+            return await self.cells.ask_home(CANCEL, job_id)
         return await self._bounded(self.jobs.cancel(job_id), constants.ACCEPT_S)
--- a/peathall/leadership/election.py
+++ b/peathall/leadership/election.py
@@ -19,6 +19,7 @@
 
 from peathall import constants
 from peathall.leadership.lease import LeadLease
+from peathall.modes import Mode
 from peathall.store.client import (
     ConflictError,
     LeaseGoneError,
@@ -43,6 +44,13 @@
     RESTING = auto()  # gave the lead up since workers did not reach us
 
 
+class TermRecord(Struct, frozen=True, omit_defaults=True):
+    """The value of `term`."""
+
+    n: int = 0
+    cells: bool = False  # jobs may be in other cells: only who knows of those may lead
+
+
 class LeadValue(Struct, frozen=True):
     """The value of `lead`: who leads, in which term, on which lease."""
 
@@ -98,7 +106,9 @@
         lead: Callable[[Mandate], Awaitable[None]],
         rng: random.Random,
         gate: CampaignGate,
+        cells: Mode = Mode.OFF,
     ) -> None:
+        self.cells = cells
         self.name = name
         self.gate = gate
         self.store = store
@@ -193,14 +203,24 @@
         self._enter(Phase.STANDING)
         terms = await self.gate.terms()
         term_item = await self.store.get(TERM, first=True)
-        term = (term_item.value["n"] if term_item else 0) + 1
+        before = msgspec.convert(term_item.value, TermRecord) if term_item else TermRecord()
+        if before.cells and self.cells is Mode.OFF:
+            log.error("cells are on, and off at this controller: it does not lead")
+            await asyncio.sleep(constants.GATE_CLOSED_S)
+            return
+        term = before.n + 1
+        counted = TermRecord(term, before.cells or self.cells is Mode.ON)
         sent = self.loop.time()
         lease_id = await self.store.lease(constants.LEAD_TTL_S)
         record = msgspec.to_builtins(LeadValue(self.name, term, lease_id))
         try:
             version = await self.store.commit(
                 {LEAD: 0, TERM: term_item.version if term_item else 0, **terms.conditions},
-                [Put(LEAD, record, lease_id), Put(TERM, {"n": term}), *terms.puts],
+                [
+                    Put(LEAD, record, lease_id),
+                    Put(TERM, msgspec.to_builtins(counted)),
+                    *terms.puts,
+                ],
             )
         except (ConflictError, LeaseGoneError) as exc:
             await self._end(lease_id)
--- a/peathall/node.py
+++ b/peathall/node.py
@@ -12,10 +12,10 @@
 from typing import TYPE_CHECKING, Any
 
 import msgspec
+import orjson
 
 from peathall import constants
 from peathall.duties.gate import DutyGate
-from peathall.duties.model import Mode
 from peathall.duties.settings import DutySettings
 from peathall.fleet.client import CloudClient
 from peathall.fleet.service import TYPES
@@ -23,6 +23,7 @@
 from peathall.jobs.service import NOT_NOW, Answer
 from peathall.leader import Leader
 from peathall.leadership.election import Election, Mandate
+from peathall.modes import Mode
 from peathall.peers.service import Peers
 from peathall.settings import Operator, Settings, split_addr
 from peathall.store.client import StateClient, StoreError
@@ -37,6 +38,9 @@
 log = logging.getLogger("peathall.node")
 
 JOB_PATH = re.compile(r"/work/([^/]+)(/withdraw)?\Z")
+DUTY_PATHS = ("/duty", "/duties", "/duties/waiting")
+CELL_PATHS = "/cells"
+CELL_STATUS = "/cells"
 JOB_ID = re.compile(r"j-[0-9]{1,30}\Z")
 
 
@@ -71,12 +75,18 @@
         )
         self.leader: Leader | None = None
         gate = DutyGate(self.store, mode)
-        self.election = Election(settings.name, self.store, self._lead, self.rng, gate)
-        self.peers = Peers(settings.peers, self._forwarded, self._serve_duty)
+        self.election = Election(
+            settings.name, self.store, self._lead, self.rng, gate, self.operator.cell_mode
+        )
+        self.peers = Peers(
+            settings.peers,
+            self._forwarded,
+            self.election.may_act,
+            [self._serve_duty, self._serve_cells],
+        )
         self.duties = self._make_duties() if mode is not Mode.OFF else None
         self.started = self.loop.time()
-        self.fallback = Fallback(self.store, settings.params)
-        self.peers.leads = self.election.may_act
+        self.fallback = Fallback(self.store, settings.params, self.operator.cells is not None)
         sockets = settings.params.machine_limits.fd_limit
         self.api = HttpServer(self._serve, int(sockets * constants.CALLER_SHARE))
         self.turns = Turns()
@@ -96,9 +106,31 @@
             self.rng,
         )
 
-    async def _serve_duty(self, path: str, raw: bytes) -> tuple[int, Any]:
-        if self.duties is None:
-            return 404, None
+    async def _serve_cells(self, path: str, raw: bytes) -> tuple[int, Any] | None:
+        if self.operator.cells is None or not path.startswith(CELL_PATHS):
+            return None
+        leader = self.leader
+        if leader is None or leader.cells is None:
+            if path == CELL_STATUS:
+                return await self._relay_to_leader(path, raw)
+            return 421, {"leader": self._steward()}
+        if path == CELL_STATUS:
+            return 200, msgspec.to_builtins(leader.cells.status(self.settings.name))
+        return await leader.cells.serve(path, raw)
+
+    async def _relay_to_leader(self, path: str, raw: bytes) -> tuple[int, Any]:
+        steward = self._steward()
+        if steward is None:
+            return 503, {"error": "nobody leads"}
+        try:
+            status, answer = await self.peers.send(steward, path, raw, constants.FORWARD_S)
+            return status, orjson.loads(answer)
+        except (NoAnswerError, orjson.JSONDecodeError) as exc:
+            return 503, {"error": str(exc)}
+
+    async def _serve_duty(self, path: str, raw: bytes) -> tuple[int, Any] | None:
+        if self.duties is None or path not in DUTY_PATHS:
+            return None
         try:
             return await self.duties.serve(path, raw)
         except StoreError as exc:
@@ -140,6 +172,7 @@
             self.wall,
             lambda: self.peers.reporting_elsewhere(self.loop.time()),
             self.duties,
+            self.rng,
         )
         self.leader = leader
         try:
--- a/peathall/operator_file.py
+++ b/peathall/operator_file.py
@@ -2,6 +2,7 @@
 
     idle_hold_s: 45
     duties { mode: "on" hold: "renting" hold: "returning" lease_s: 5 }
+    cells { name: "north" neighbour { name: "south" controller: "10.0.1.1:8081" } lease_s: 30 }
 
 Imported only by a controller that is given such a file: the library costs start-up time and memory.
 """
@@ -51,12 +52,33 @@
             ],
         )
     )
+    described.message_type.append(
+        _message(
+            "Neighbour",
+            [
+                ("name", Field.TYPE_STRING, once, ""),
+                ("controller", Field.TYPE_STRING, many, ""),
+            ],
+        )
+    )
+    described.message_type.append(
+        _message(
+            "Cells",
+            [
+                ("name", Field.TYPE_STRING, once, ""),
+                ("neighbour", Field.TYPE_MESSAGE, many, f".{PACKAGE}.Neighbour"),
+                ("mode", Field.TYPE_STRING, once, ""),
+                ("lease_s", Field.TYPE_DOUBLE, once, ""),
+            ],
+        )
+    )
     described.message_type.append(
         _message(
             "Operator",
             [
                 ("idle_hold_s", Field.TYPE_DOUBLE, once, ""),
                 ("duties", Field.TYPE_MESSAGE, once, f".{PACKAGE}.Duties"),
+                ("cells", Field.TYPE_MESSAGE, once, f".{PACKAGE}.Cells"),
             ],
         )
     )
--- a/peathall/peers/service.py
+++ b/peathall/peers/service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import orjson
@@ -19,10 +19,8 @@
 # controllers of different versions: the spelling stays.
 TURNED_AWAY = "knocks"
 
-DUTY_PATHS = ("/duty", "/duties", "/duties/waiting")
-
-# Path and body of a request about duties -> status and value of the answer.
-DutyHandler = Callable[[str, bytes], Awaitable[tuple[int, Any]]] | None
+# Path and body of a request -> status and value of the answer; None if it is not ours to answer.
+FeatureHandler = Callable[[str, bytes], Awaitable[tuple[int, Any] | None]]
 Handle = Callable[[dict[str, Any]], Awaitable[tuple[int, Any]]]
 
 
@@ -42,14 +40,20 @@
 class Peers:
     """Pings of the other controllers, and what they tell."""
 
-    def __init__(self, peers: list[Peer], handle: Handle, duties: DutyHandler = None) -> None:
-        self.duties = duties
+    def __init__(
+        self,
+        peers: list[Peer],
+        handle: Handle,
+        leads: Callable[[], bool],
+        features: Sequence[FeatureHandler] = (),
+    ) -> None:
+        self.leads = leads
+        self.features = features
         self.views = {peer.name: PeerView(peer) for peer in peers}
         self.handle = handle
         self.loop = asyncio.get_running_loop()
         # Worker -> session and sequence number of its latest report here, and when it came.
         self.turned_away: dict[str, tuple[tuple[int, int], float]] = {}
-        self.leads: Callable[[], bool] = lambda: False
 
     # --- serving -------------------------------------------------------------
     async def serve(self, request: Request) -> Response:
@@ -68,8 +72,10 @@
                 return json_response(400, None)
             status, value = await self.handle(message)
             return json_response(status, value)
-        if self.duties is not None and request.path in DUTY_PATHS:
-            return json_response(*await self.duties(request.path, request.body))
+        for feature in self.features:
+            answer = await feature(request.path, request.body)
+            if answer is not None:
+                return json_response(*answer)
         return json_response(404, None)
 
     async def send(self, name: str, path: str, raw: bytes, timeout: float) -> tuple[int, bytes]:
--- a/peathall/placement/bookings.py
+++ b/peathall/placement/bookings.py
@@ -1,4 +1,5 @@
-"""Room kept for replicas that are being moved, from the stop of the old one to its next start."""
+"""Room kept for replicas that are being moved, from the stop of the old one to its next start, and
+for other cells' jobs, from their offer to their start."""
 
 from __future__ import annotations
 
@@ -12,12 +13,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Booking:
-    """Room for one replica on a machine, while its old attempt is not known to be gone."""
+    """Room for one task on a machine: a replica whose old attempt is not known to be gone, or a
+    task of another cell's job that is not ours to run yet."""
 
     spec: JobSpec
     task: int
     machine: str
     until: float  # steady time at which it is given up
+    reserved: bool = False  # for another cell's job
 
 
 class Bookings:
@@ -38,6 +41,16 @@
         if self._bookings:
             self._bookings = [booking for booking in self._bookings if keep(booking)]
 
+    def reserved(self) -> list[tuple[JobSpec, int]]:
+        """Of each job of another cell, for how many tasks room is kept."""
+        counts: Counter[str] = Counter()
+        specs: dict[str, JobSpec] = {}
+        for booking in self._bookings:
+            if booking.reserved:
+                counts[booking.spec.id] += 1
+                specs[booking.spec.id] = booking.spec
+        return [(specs[job_id], count) for job_id, count in counts.items()]
+
     def ready(self, job: Job) -> Counter[str]:
         """Machine -> bookings for tasks of the job whose old attempts are gone."""
         return Counter(
--- a/peathall/placement/ordering.py
+++ b/peathall/placement/ordering.py
@@ -14,7 +14,7 @@
 from peathall import constants
 from peathall.placement.views import JobView, MachineView
 from peathall.settings import Objective
-from peathall.wire.names import JobSpec
+from peathall.wire.names import JobSpec, Priority
 
 
 def rank(machine: MachineView, spec: JobSpec, keep_ordinary: bool, seed: int) -> tuple[float, ...]:
@@ -76,6 +76,8 @@
     # Small jobs go before large ones of about the same urgency: when not all can be in
     # time, more of them are.
     start = job.latest_start + constants.EFFORT_WEIGHT * effort(job, totals)
+    if job.borrowed:
+        return (Priority.IDLE + 1, spec.priority, spec.submitted)  # after all that is ours
     if job.aged:
         return (-1, spec.submitted - gathering_s(spec))
     return (spec.priority, not job.covered, not spec.gang, start, spec.submitted)
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -84,7 +84,7 @@
             return
         if self.preemption.wait_for_image(job, spec.tasks):
             return
-        if not self.place_gang(job) and not job.probe:
+        if not (self.place_on_bookings(job) or self.place_gang(job)) and job.makes_room:
             self.preemption.make_room(job, spec.tasks)
             self.plan.unplaced.append((job, spec.tasks))
 
@@ -95,10 +95,10 @@
         if wanted and self.preemption.wait_for_image(job, wanted):
             return
         left = self.place_tasks(job, wanted)
-        if left > 0 and not job.probe:
+        if left > 0 and job.makes_room:
             self.preemption.make_room(job, left)
             self.plan.unplaced.append((job, left))
-        elif over_limit and not job.probe:
+        elif over_limit and job.makes_room:
             self.preemption.preempt_own_team(job, over_limit)
 
     def place_tasks(self, job: JobView, wanted: int) -> int:
@@ -126,6 +126,39 @@
                 wanted -= count
         return wanted
 
+    # --- room kept before ----------------------------------------------------
+    def reserve(self, job: JobView) -> list[Start]:
+        """Room for all of the job at once that is left after all jobs of the round; none if it
+        does not suffice."""
+        spec = job.spec
+        if self.limits.room_for(spec, spec.tasks) < spec.tasks:
+            return []
+        self.pool.prepare([job])
+        before = len(self.plan.starts)
+        found = self.place_gang(job) if spec.gang else not self.place_tasks(job, spec.tasks)
+        starts = self.plan.starts[before:]
+        del self.plan.starts[before:]
+        if found:
+            return starts
+        for start in starts:
+            self.pool.take(self.pool.by_name[start.machine], spec, -start.count)
+            self.limits.use(spec, -start.count)
+        return []
+
+    def place_on_bookings(self, job: JobView) -> bool:
+        """A gang goes to the room that was kept for all of it, or stays for the usual search."""
+        booked = {self.pool.by_name[name]: count for name, count in job.bookings.items()
+                  if name in self.pool.by_name}  # fmt: skip
+        for machine, count in booked.items():
+            machine.take(job.spec, -count)
+        choice = choose(job.spec, list(booked)) if booked else None
+        for machine, count in choice or ():
+            self.start(job, machine, count)
+        if choice is None:
+            for machine, count in booked.items():
+                machine.take(job.spec, count)
+        return choice is not None
+
     # --- planned moves -------------------------------------------------------
     def start_on_bookings(self, job: JobView, wanted: int) -> int:
         """Replicas that were stopped for a move go to the room booked for them."""
--- a/peathall/placement/preemption.py
+++ b/peathall/placement/preemption.py
@@ -39,7 +39,7 @@
         """Whether the rules let the job stop it."""
         if victim.key in self.stopped:
             return False
-        if victim.priority > job.spec.priority:
+        if victim.priority > job.spec.priority or (victim.borrowed and job.covered):
             return True
         # A guarantee may reach above its own priority, but that job would be placed
         # first again in the next round and the two would stop one another for ever.
@@ -69,7 +69,7 @@
         find room. Returns whether room under the limit is on its way.
         """
         spec = job.spec
-        if job.probe or not (job.urgent or job.covered):
+        if not job.makes_room or not (job.urgent or job.covered):
             return False
         work = self.team_work(spec.team, spec.priority)
         count, victims = self._fit_limit(spec, wanted, work)
--- a/peathall/placement/service.py
+++ b/peathall/placement/service.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from itertools import groupby
 from typing import Protocol
 
@@ -15,10 +16,11 @@
 from peathall.placement.planner import Round
 from peathall.placement.rounds import Piece, RoundRecords, joined_by_gangs
 from peathall.placement.snapshot import Snapshot
-from peathall.placement.views import Move, Plan, Start
+from peathall.placement.views import MachineView, Move, Plan, Start
 from peathall.settings import Params
 from peathall.store.client import StoreError
 from peathall.store.writer import Offers, Writer
+from peathall.wire.names import JobSpec
 from peathall.workers.model import Machine
 from peathall.workers.service import Workers
 
@@ -32,6 +34,15 @@
         """What a round found no room for, and the room that it left."""
 
 
+@dataclass(frozen=True, slots=True)
+class RoomRequest:
+    """Another cell's job that room is to be kept for, if the next round leaves enough."""
+
+    spec: JobSpec
+    until: float  # steady time
+    kept: asyncio.Future[bool]
+
+
 class Placement:
     """The leader's rounds, and the effects of their plans."""
 
@@ -43,7 +54,7 @@
         workers: Workers,
         wall: Callable[[], float],
         may_act: Callable[[], bool],
-        demand: DemandListener,
+        demand: Sequence[DemandListener],
         reclaim: Offers | None = None,
     ) -> None:
         self.cluster = cluster
@@ -56,6 +67,9 @@
         self.loop = asyncio.get_running_loop()
         self.wake = asyncio.Event()
         self.bookings = Bookings()
+        self.requests: list[RoomRequest] = []
+        # Whoever else takes from the teams' limits does it between two rounds.
+        self.deciding = asyncio.Lock()
         self.snapshot = Snapshot(cluster, params, workers, self.bookings)
         self.rounds = RoundRecords(cluster, writer, reclaim)
         workers.on_notice = self.evacuate
@@ -84,14 +98,16 @@
 
     async def round(self, now: float) -> None:
         """Decide, stop, move and start."""
-        plan = await self.decide(now)
-        self.demand.note_unplaced(plan)
-        for job_id, task in plan.stops:
-            self._preempt(job_id, task, now)
-        for move in plan.moves:
-            self._move(move, now)
-        if plan.starts:
-            await self._start(plan, now)
+        async with self.deciding:
+            plan = await self.decide(now)
+            for listener in self.demand:
+                listener.note_unplaced(plan)
+            for job_id, task in plan.stops:
+                self._preempt(job_id, task, now)
+            for move in plan.moves:
+                self._move(move, now)
+            if plan.starts:
+                await self._start(plan, now)
 
     async def decide(self, now: float) -> Plan:
         """One plan, on views taken at its beginning. Others get their turn between jobs:
@@ -100,7 +116,7 @@
         snapshot.begin(self.wall(), now)
         self.bookings.prune(lambda booking: self._still_wanted(booking, now))
         jobs = snapshot.jobs()
-        if not jobs:
+        if not jobs and not self.requests:
             return Plan()
         active = snapshot.active()
         current = Round(
@@ -111,18 +127,55 @@
             shapes=snapshot.gang_shapes(),
             lowest=max((job.spec.priority for job in active if job.attempts), default=-1),
             team_work=snapshot.team_work,
-            reserved=snapshot.lost_replicas(),
+            reserved=snapshot.reserved(),
         )
         since = self.loop.time()
         for _ in current.run(jobs):
             if self.loop.time() - since > constants.SLICE_S:
                 await asyncio.sleep(0)
                 since = self.loop.time()
+        self._answer_requests(current)
         return current.plan
 
+    # --- room for other cells' jobs ------------------------------------------
+    async def reserve(self, spec: JobSpec, until: float) -> bool:
+        """Keep room for the whole job until then, if all that is ours leaves it."""
+        request = RoomRequest(spec, until, self.loop.create_future())
+        self.requests.append(request)
+        self.request_round()
+        return await request.kept
+
+    def _answer_requests(self, current: Round) -> None:
+        requests, self.requests = self.requests, []
+        for request in requests:
+            starts = current.reserve(self.snapshot.offered_view(request.spec))
+            tasks = iter(range(request.spec.tasks))
+            for start in starts:
+                for _ in range(start.count):
+                    self.bookings.add(
+                        Booking(request.spec, next(tasks), start.machine, request.until, True)
+                    )
+            if not request.kept.done():
+                request.kept.set_result(bool(starts))
+
+    def release(self, spec: JobSpec) -> None:
+        """The room that is still kept for the job is free again."""
+        self.bookings.prune(lambda booking: booking.spec.id != spec.id)
+        self.request_round()
+
+    def free_machines(self) -> list[MachineView]:
+        """Machines that take new work, with the room that is neither used nor kept."""
+        return self.snapshot.machines()
+
+    def booting_machines(self) -> list[tuple[float, MachineView]]:
+        """Machines on their way, and in how many seconds they should be up."""
+        return self.snapshot.booting(self.loop.time())
+
     def _still_wanted(self, booking: Booking, now: float) -> bool:
         job = self.cluster.jobs.get(booking.spec.id)
         machine = self.cluster.machines.get(booking.machine)
+        if job is None and booking.reserved and machine is not None:
+            return now < booking.until and self.snapshot.usable(machine, now)
         if job is None or machine is None or job.phase is not JobPhase.ACTIVE:
             return False
         attempt = job.attempts.get(booking.task)
@@ -187,7 +240,7 @@
                 dead.add(start.job)
         for job_id, count in wanted.items():
             job = self.cluster.jobs.get(job_id)
-            if job is None or job.phase is not JobPhase.ACTIVE or len(job.todo) < count:
+            if job is None or job.held or job.phase is not JobPhase.ACTIVE or len(job.todo) < count:
                 dead.add(job_id)
         return [start for start in starts if start.job not in dead]
 
@@ -250,7 +303,7 @@
             if attempt.phase is not AttemptPhase.PLANNED:
                 continue
             attempt.enter(AttemptPhase.INTENDED, now)
-            if attempt.stopping or attempt.job.phase is not JobPhase.ACTIVE:
+            if attempt.stopping or attempt.job.held or attempt.job.phase is not JobPhase.ACTIVE:
                 self.cluster.release(attempt, now)
             else:
                 spec = attempt.job.spec
--- a/peathall/placement/snapshot.py
+++ b/peathall/placement/snapshot.py
@@ -65,6 +65,15 @@
             if self.usable(machine, self.now)
         ]
 
+    def booting(self, now: float) -> list[tuple[float, MachineView]]:
+        """Machines on their way, and in how many seconds they should be up."""
+        return [
+            (max(1.0, self.cluster.types[machine.type].boot_s - (now - machine.born)),
+             self._machine_view(machine, None))
+            for machine in self.cluster.machines.values()
+            if machine.phase is MachinePhase.BOOTING and machine.cpus > 0
+        ]  # fmt: skip
+
     def usable(self, machine: Machine, now: float) -> bool:
         """Whether it takes new work: it hears us, and we have heard it lately."""
         silent = self.workers.health.silence(machine, now)
@@ -90,7 +99,9 @@
         sums: dict[str, list[float]] = {}
         covered = set()
         # What may be mistaken takes its team's guarantee from no other job.
-        active = [job for job in self.active() if job.trust is not Trust.SUSPECT]
+        active = [
+            job for job in self.active() if job.trust is not Trust.SUSPECT and not job.borrowed
+        ]
         for job in sorted(active, key=lambda j: j.spec.submitted):
             team = self.teams.get(job.spec.team)
             if team is None or not (team.cpus or team.gpus):
@@ -118,7 +129,7 @@
     @staticmethod
     def _may_start(job: Job, now: float) -> int:
         """How many tasks may start now: of a job that may be mistaken, one probe at a time."""
-        if now < job.backoff_until:
+        if job.held or now < job.backoff_until:
             return 0
         if job.trust is not Trust.SUSPECT:
             return len(job.todo)
@@ -146,6 +157,14 @@
             and job.trust is not Trust.SUSPECT
         ]
 
+    def reserved(self) -> list[tuple[JobSpec, int]]:
+        """What of the teams' limits is kept, for which job and how many of its tasks."""
+        return [*self.lost_replicas(), *self.bookings.reserved()]
+
+    def offered_view(self, spec: JobSpec) -> JobView:
+        """Another cell's job that is looked for room for."""
+        return JobView(spec, spec.tasks, urgent=False, borrowed=True)
+
     def _job_view(self, job: Job, todo: int, moving: list[MovingReplica]) -> JobView:
         zones: dict[str, int] = {}
         if job.spec.one_zone or job.spec.spread:
@@ -169,6 +188,20 @@
                 hosts=hosts,
                 moving=moving,
             )
+        bookings = self.bookings.ready(job) if job.spec.daemon or job.borrowed else None
+        if job.borrowed:
+            return JobView(
+                job.spec,
+                todo,
+                False,
+                self.wall,
+                zones,
+                lingering=job.spec.gang and bool(job.attempts),
+                urgent=False,
+                bookings=bookings,
+                avoid=avoid,
+                borrowed=True,
+            )
         latest = latest_start(job.spec, self.params.objectives, self.wall, 0.0)
         aged = not job.attempts and self.has_aged(job, self.now)
         return JobView(
@@ -182,7 +215,7 @@
             aged=aged,
             hosts=hosts,
             moving=moving,
-            bookings=self.bookings.ready(job) if job.spec.daemon else None,
+            bookings=bookings,
             avoid=avoid,
             fetch_s=self._fetch_s(job.spec),
         )
@@ -252,6 +285,7 @@
             (lost + constants.RESTART_S) * share,
             max(1.0, spec.expected_s - ran),
             machine=machine.name,
+            borrowed=attempt.job.borrowed,
         )
 
     def team_work(self, team: str, priority: int) -> TeamWork:
--- a/peathall/placement/views.py
+++ b/peathall/placement/views.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Collection, Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from peathall import constants
 from peathall.wire.names import JobSpec
@@ -15,6 +16,7 @@
     """An attempt that could be stopped to make room."""
 
     __slots__ = (
+        "borrowed",
         "cpus",
         "ends",
         "gpus",
@@ -38,7 +40,9 @@
         ends: float = 0.0,
         *,
         machine: str,
+        borrowed: bool = False,
     ) -> None:
+        self.borrowed = borrowed  # its job is another cell's
         self.key = key
         self.machine = machine
         self.cpus, self.gpus, self.ram = need
@@ -203,6 +207,7 @@
         "aged",
         "avoid",
         "bookings",
+        "borrowed",
         "covered",
         "fetch_s",
         "hosts",
@@ -233,7 +238,9 @@
         hosts: Collection[str] = (),
         moving: Sequence[MovingReplica] = (),
         bookings: Mapping[str, int] | None = None,
+        borrowed: bool = False,
     ) -> None:
+        self.borrowed = borrowed  # another cell's: nobody is stopped for it, nothing is rented
         self.spec = spec
         self.todo = todo
         self.covered = covered  # within the team's guarantee
@@ -249,6 +256,11 @@
         self.probe = probe  # of a job that may be mistaken: nobody makes room for it
         self.lingering = lingering  # a gang with attempts that are not gone yet
 
+    @property
+    def makes_room(self) -> bool:
+        """Whether others are stopped and machines rented for it."""
+        return not (self.probe or self.borrowed)
+
 
 class Start:
     """Some tasks of a job are to start on a machine."""
@@ -292,7 +304,23 @@
     return max(0, count)
 
 
-def allowed(machine: MachineView | Group, spec: JobSpec) -> bool:
+class Place(Protocol):
+    """What a job may be particular about: machine type, zone, and spot or ordinary."""
+
+    @property
+    def type(self) -> str:
+        """Machine type."""
+
+    @property
+    def zone(self) -> str:
+        """Zone."""
+
+    @property
+    def spot(self) -> bool:
+        """Whether the cloud may take it back at any time."""
+
+
+def allowed(machine: Place, spec: JobSpec) -> bool:
     """Whether the job may use such machines at all."""
     return (
         (spec.types is None or machine.type in spec.types)
--- /dev/null
+++ b/peathall/setting_types.py
@@ -0,0 +1,12 @@
+"""Types of settings that several sections share, with the bounds that are checked."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from msgspec import Meta
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
--- a/peathall/settings.py
+++ b/peathall/settings.py
@@ -10,13 +10,10 @@
 from msgspec import Meta, Struct, field
 
 from peathall import constants
-from peathall.duties.model import Mode
+from peathall.cells.settings import CellSettings
 from peathall.duties.settings import DutySettings
-
-Positive = Annotated[float, Meta(gt=0)]
-NotNegative = Annotated[float, Meta(ge=0)]
-Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
-Name = Annotated[str, Meta(min_length=1, max_length=100)]
+from peathall.modes import Mode
+from peathall.setting_types import Address, Name, NotNegative, Positive
 
 
 class SettingsError(Exception):
@@ -154,12 +151,18 @@
 
     idle_hold_s: NotNegative | None = None
     duties: DutySettings | None = None
+    cells: CellSettings | None = None
 
     @property
     def duty_mode(self) -> Mode:
         """This controller's part in duties; without a section it has none."""
         return self.duties.mode if self.duties is not None else Mode.OFF
 
+    @property
+    def cell_mode(self) -> Mode:
+        """This controller's part in cells; without a section it has none."""
+        return self.cells.mode if self.cells is not None else Mode.OFF
+
 
 def split_addr(addr: str) -> tuple[str, int]:
     """Host and port."""
--- a/peathall/workers/service.py
+++ b/peathall/workers/service.py
@@ -384,7 +384,8 @@
 
     def _may_start(self, attempt: Attempt) -> bool:
         early = attempt.phase in (AttemptPhase.INTENDED, AttemptPhase.SENT)
-        return early and attempt.job.phase is JobPhase.ACTIVE and self._own(attempt)
+        wanted = attempt.job.phase is JobPhase.ACTIVE and not attempt.job.held
+        return early and wanted and self._own(attempt)
 
     def _forget_orders(self, machine: Machine, most: int) -> list[dict[str, Any]]:
         """For ended attempts whose end is stored, and whose starts can't arrive any more."""
--- a/tests/sim/test_duties.py
+++ b/tests/sim/test_duties.py
@@ -11,9 +11,10 @@
 import pytest
 
 from peathall import settings
-from peathall.duties.model import ActAnswer, ActRequest, Deletion, Duty, DutyPhase, Mode, Outcome
+from peathall.duties.model import ActAnswer, ActRequest, Deletion, Duty, DutyPhase, Outcome
 from peathall.duties.settings import DutySettings
 from peathall.fleet.actions import CloudError, Rental
+from peathall.modes import Mode
 from peathall.settings import Operator
 from peathall.store.writer import Transaction, Writer
 from tests.sim import production
--- a/tests/sim/test_duties_command.py
+++ b/tests/sim/test_duties_command.py
@@ -13,8 +13,9 @@
 import pytest
 
 from peathall import cli
-from peathall.duties.model import Duty, Mode
+from peathall.duties.model import Duty
 from peathall.duties.status import describe
+from peathall.modes import Mode
 from peathall.operator_file import load_operator
 from peathall.settings import SettingsError
 from peathall.store.client import Item
