Divide the entry of a round that is larger than a value may be

Cause: a round's record was divided between its entries (one job on one machine), but an entry was never divided. The scattered numbers 601, 603, ... 1199 make one entry of 3,244 bytes, and the limit was 2,048. The state service answered 400, the starter gave the attempts up, and the next round planned the very same entry, whose tasks are always the lowest pending ones; since the plan counted them as placed, nothing was provisioned.

Change: an entry that is too large for a record of its own is divided between its task ranges. The stored format is unchanged: a machine may always have had several entries of an attempt number. Entries and their division now stand in placement/round_entries.py.

The stand-in of the state service also checks the number of conditions and the size of the whole transaction, and checks sizes before conditions. Tasks of one simulated job may run for different times.

--- a/peathall/placement/rounds.py
+++ b/peathall/placement/rounds.py
@@ -9,12 +9,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 from functools import partial
 from itertools import groupby
-from typing import Any
 
-import msgspec
 from msgspec import Struct
 
 from peathall import constants
@@ -23,7 +21,7 @@
 from peathall.cluster.ranges import Ranges
 from peathall.cluster.state import ClusterState
 from peathall.placement.plan import Assignment
-from peathall.protocol.codec import json_size
+from peathall.placement.round_entries import RoundEntry, from_record, split_entries, to_record
 from peathall.protocol.state_service import KeyValue, Put
 from peathall.store.deferred_writes import DeferredWriter
 from peathall.store.mutation import Mutation
@@ -32,48 +30,6 @@
 ROUND_PREFIX = "round/"
 
 
-class RoundEntry(Struct, array_like=True, frozen=True):
-    """Tasks of a job to be started by one machine; stored as a list of the fields in this order."""
-
-    job: str
-    attempt: int
-    machine: str
-    tasks: list[list[int]]
-
-
-def to_record(entries: Iterable[RoundEntry]) -> dict[str, Any]:
-    """The stored value for the entries."""
-    return {"a": msgspec.to_builtins(list(entries))}
-
-
-def from_record(value: dict[str, Any]) -> list[RoundEntry]:
-    """The entries of a stored value."""
-    return msgspec.convert(value["a"], list[RoundEntry])
-
-
-def split_entries(entries: list[RoundEntry], limit: int) -> list[list[RoundEntry]]:
-    """Split a round's entries into parts of at most `limit` bytes. The entries of one job stay in
-    one part if they fit, so that the intent of a gang is stored atomically."""
-    parts: list[list[RoundEntry]] = [[]]
-    size = json_size(to_record([]))
-    empty = size
-    for _, group in groupby(entries, key=lambda entry: entry.job):
-        job_entries = list(group)
-        # Each size includes the comma that separates the entry from the next one.
-        sizes = [json_size(msgspec.to_builtins(entry)) + 1 for entry in job_entries]
-        whole = sum(sizes)
-        if parts[-1] and size + whole > limit and empty + whole <= limit:
-            parts.append([])
-            size = empty
-        for entry, entry_size in zip(job_entries, sizes, strict=True):
-            if parts[-1] and size + entry_size > limit:
-                parts.append([])
-                size = empty
-            parts[-1].append(entry)
-            size += entry_size
-    return [part for part in parts if part]
-
-
 class RecordPart(Struct):
     """One of the records in which a round is stored."""
 
--- a/tests/sim/state.py
+++ b/tests/sim/state.py
@@ -14,6 +14,8 @@
 from tests.sim.net import CALLER, VirtualLoop
 
 NO_ANSWER_S = 3600.0  # a request without an answer is held this long
+CONDITIONS_PER_CHANGE = 4  # times `txn_ops`: limit of conditions in one transaction
+MAX_TRANSACTION_BYTES = 64 * 1024
 
 
 class StateService:
@@ -103,17 +105,34 @@
         if self.data.pop(key, None) is not None:
             self.record_change(key, None, True)
 
+    def exceeds_limits(self, raw: dict[str, Any]) -> bool:
+        """Whether a transaction exceeds a limit, which is reported to `on_invalid`."""
+        changes, conditions = len(raw["apply"]), len(raw["when"])
+        values = {op["write"]: codec.json_size(op["data"]) for op in raw["apply"] if "write" in op}
+        key, size = max(values.items(), key=lambda value: value[1], default=("", 0))
+        total = codec.json_size(raw)
+        exceeds = (
+            changes > self.txn_ops
+            or conditions > CONDITIONS_PER_CHANGE * self.txn_ops
+            or size > self.value_kb * 1024
+            or total > MAX_TRANSACTION_BYTES
+        )
+        if exceeds:
+            self.on_invalid(
+                f"{changes} changes, {conditions} conditions, {total} bytes in total,"
+                f" {size} bytes as the value of {key!r}: {raw}"
+            )
+        return exceeds
+
     def commit(self, raw: dict[str, Any]) -> Response:
         """Executes a transaction if its conditions hold and it is within the limits."""
+        if self.exceeds_limits(raw):
+            return codec.cbor_response(400, {"error": "too large"})
         failed = [
             w["k"] for w in raw["when"] if self.data.get(w["k"], (None, 0, None))[1] != w["stamp"]
         ]
         if failed:
             return codec.cbor_response(409, {"failed": failed, "epoch": self.revision})
-        size = max([codec.json_size(op["data"]) for op in raw["apply"] if "write" in op], default=0)
-        if len(raw["apply"]) > self.txn_ops or size > self.value_kb * 1024:
-            self.on_invalid(f"{len(raw['apply'])} changes, a value of {size} bytes: {raw}")
-            return codec.cbor_response(400, {"error": "too large"})
         for op in raw["apply"]:
             if op.get("tenancy") is not None and op["tenancy"] not in self.leases:
                 return codec.cbor_response(400, {"error": "no such lease"})
--- a/tests/sim/worker.py
+++ b/tests/sim/worker.py
@@ -76,6 +76,13 @@
             item |= {"cause": self.exit_reason, "kept": self.checkpointed}
         return item
 
+    def run_time_s(self) -> float:
+        """How long the task runs. A job's `run_s` may be a list, which its tasks use in turn."""
+        run_s = self.job["run_s"]
+        if isinstance(run_s, list):
+            return float(run_s[decode_task_name(self.name)[1] % len(run_s)])
+        return float(run_s)
+
 
 class Worker:
     """A machine of the cloud, with its worker process and tasks."""
@@ -247,7 +254,7 @@
         if task.job["shape"] == "daemon":
             self.heartbeat_due.set()
             return
-        self.schedule(task, task.job["run_s"], self.complete)
+        self.schedule(task, task.run_time_s(), self.complete)
         self.heartbeat_due.set()
 
     def complete(self, task: Task) -> None:
--- a/tests/unit/test_rounds.py
+++ b/tests/unit/test_rounds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from types import SimpleNamespace
 from typing import Any
 
@@ -10,11 +11,18 @@
 
 from peathall.cluster.job import AttemptPhase, Job
 from peathall.cluster.machine import MachinePhase
+from peathall.cluster.ranges import Ranges
 from peathall.cluster.state import ClusterState
 from peathall.config.platform import StateSettings
 from peathall.leadership.lease import first_number_of_term
 from peathall.placement.plan import Assignment, Plan
-from peathall.placement.rounds import ROUND_PREFIX, RoundRecords, from_record
+from peathall.placement.round_entries import (
+    RoundEntry,
+    from_record,
+    split_entries,
+    to_record,
+)
+from peathall.placement.rounds import ROUND_PREFIX, RoundRecords
 from peathall.protocol.codec import json_size
 from peathall.protocol.state_service import KeyValue
 from peathall.store.errors import InvalidTransactionError
@@ -42,6 +50,41 @@
         await asyncio.sleep(0)
 
 
+def draw_entries(rng: random.Random) -> list[RoundEntry]:
+    """Entries of one to four jobs on one to five machines, with consecutive and scattered tasks."""
+    entries = []
+    for job in range(rng.randint(1, 4)):
+        numbers = rng.sample(range(100_000), rng.choice([5, 100, 600]))
+        first = rng.randrange(99_000)
+        numbers += range(first, first + rng.choice([0, 50, 900]))
+        for machine in range(rng.randint(1, 5)):
+            tasks = Ranges([number, number + 1] for number in numbers[machine::5])
+            entry = RoundEntry(f"j-{job:06d}", 2**40 + job, f"m-{machine:06d}", tasks.to_record())
+            entries.append(entry)
+    return entries
+
+
+def tasks_by_machine(entries: list[RoundEntry]) -> dict[tuple[str, int, str], list[int]]:
+    """The tasks of each job, attempt number and machine, in ascending order."""
+    tasks: dict[tuple[str, int, str], list[int]] = {}
+    for entry in entries:
+        key = (entry.job, entry.attempt, entry.machine)
+        tasks.setdefault(key, []).extend(Ranges(entry.tasks))
+    return {key: sorted(numbers) for key, numbers in tasks.items()}
+
+
+@pytest.mark.parametrize("limit", [200, 1740, 6963])
+@pytest.mark.parametrize("seed", range(20))
+def test_entries_are_divided_until_each_record_is_within_the_limit(seed: int, limit: int) -> None:
+    """Regression, review/3: one entry could be larger than a value of the state service may be."""
+    entries = draw_entries(random.Random(seed))
+    parts = split_entries(entries, limit)
+    assert all(json_size(to_record(part)) <= limit for part in parts)
+    stored = [entry for part in parts for entry in from_record(to_record(part))]
+    assert tasks_by_machine(stored) == tasks_by_machine(entries)
+    assert all(entry.tasks for entry in stored)
+
+
 def test_stored_records_of_rounds_are_bounded_by_the_live_attempts() -> None:
     """Five hours of rounds, each of which starts short tasks and, until all 30 run, a replica.
     Regression: a record named the ended tasks of its round as long as the replica ran."""
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -15,7 +15,7 @@
 from peathall.jobs.follower import FollowerService
 from peathall.jobs.records import DONE_TASKS_PREFIX, done_key, done_record, tasks_per_block
 from peathall.leadership.lease import HeldLease, fencing_token, first_number_of_term
-from peathall.placement.rounds import RoundEntry, from_record, split_entries, to_record
+from peathall.placement.round_entries import RoundEntry, from_record, split_entries, to_record
 from peathall.protocol.codec import json_size, struct_to_builtins
 from peathall.protocol.state_service import KeyValue, Put, WatchEvent
 from peathall.store.client import StoreClient
