Do not compact a round's record into one that is too large

Seen: nothing by users; the leader logged "commit of 1 operations rejected as invalid" each second, and each attempt took a request and a change of the rate limits.

Cause: a record that names consecutive tasks is small, however many they are. Once only scattered ones are left, naming each of them can take more than a value may have. The compaction was written all the same, refused with 400, and planned again a second later.

Change: a record is compacted only if the result is within the limit. Otherwise it stays as it is, which is no larger than when it was written, and the compaction is tried again after ROUND_COMPACT_AGE_S.

--- a/peathall/placement/rounds.py
+++ b/peathall/placement/rounds.py
@@ -4,6 +4,8 @@
 
 A record stays until none of its attempts can exist any more. A record that names many more attempts
 than still exist is compacted, so that the stored data is bounded by the number of live attempts.
+Scattered tasks take more bytes than consecutive ones: a record is not compacted as long as the
+compacted one would exceed the limit of a value.
 """
 
 from __future__ import annotations
@@ -22,6 +24,7 @@
 from peathall.cluster.state import ClusterState
 from peathall.placement.plan import Assignment
 from peathall.placement.round_entries import RoundEntry, from_record, split_entries, to_record
+from peathall.protocol.codec import json_size
 from peathall.protocol.state_service import KeyValue, Put
 from peathall.store.deferred_writes import DeferredWriter
 from peathall.store.mutation import Mutation
@@ -60,7 +63,7 @@
     """The number of attempts that a stored record names."""
 
     attempts: int
-    since: float  # monotonic time at which the record was written or read
+    since: float  # monotonic time at which it was written, read, or too large to be compacted
 
 
 class RoundRecords:
@@ -158,13 +161,18 @@
 
     def compaction_mutation(self, key: str, now: float) -> Mutation | None:
         """The mutation that reduces the record to the attempts that still exist; None if there are
-        none, or if the record is deleted."""
+        none, if the record is deleted, or if the reduced record would be too large."""
         attempts = list(self.cluster.rounds.get(key, ()))
         if not attempts or key not in self.writer.versions:
             return None
+        compacted = to_record(live_entries(attempts))
+        if json_size(compacted) > self.writer.value_limit:
+            if key in self._sizes:
+                self._sizes[key].since = now  # tried again after ROUND_COMPACT_AGE_S
+            return None
         # Conditional on the current version: a record deleted meanwhile must not be created again.
         unchanged = {key: self.writer.versions[key]}
-        mutation = Mutation(unchanged, [Put(key, to_record(live_entries(attempts)))])
+        mutation = Mutation(unchanged, [Put(key, compacted)])
 
         def stored() -> None:
             if key in self._sizes:
--- a/tests/sim/test_record_sizes.py
+++ b/tests/sim/test_record_sizes.py
@@ -51,6 +51,16 @@
     )
 
 
+def draw_compaction(rng: random.Random) -> ScatteredDay:
+    """So few tasks are left that the record of their round is compacted."""
+    long_s = rng.uniform(120.0, 180.0)
+    return ScatteredDay(
+        tasks=rng.randint(1150, 1200),
+        run_s=draw_run_s(rng, 5, long_s),
+        leader_crashes_at_s=BEGIN_S + rng.uniform(0.0, long_s) if rng.random() < 0.5 else None,
+    )
+
+
 def array_before() -> dict[str, Any]:
     """An array for which both machines are provisioned."""
     return draw_job(random.Random(1), 2) | {
@@ -104,10 +114,19 @@
     return world
 
 
-@pytest.mark.parametrize("seed", [503, 504, 505, 507, 508, 511])
+@pytest.mark.parametrize("seed", range(503, 513))
 def test_scattered_tasks_of_a_long_array_start_again_after_their_machine_stopped(seed: int) -> None:
     """Regression, review/3: the entry of a round for one machine was never divided. With scattered
     task numbers it exceeded the limit of a value, was refused, and was planned again for ever."""
     world = play_scattered_day(seed, draw_lost_machine(random.Random(seed)))
     assert world.broken == []
     assert world.last_response["j-000001"] == "done"
+
+
+@pytest.mark.parametrize("seed", range(502, 506))
+def test_a_round_record_is_never_compacted_into_a_larger_one(seed: int) -> None:
+    """Regression: a record that named consecutive tasks exceeded the limit of a value once only
+    scattered ones were left. Its compaction was refused, and repeated for ever."""
+    world = play_scattered_day(seed, draw_compaction(random.Random(seed)))
+    assert world.broken == []
+    assert world.last_response["j-000001"] == "done"
--- a/tests/unit/test_rounds.py
+++ b/tests/unit/test_rounds.py
@@ -167,6 +167,48 @@
     asyncio.run(run())
 
 
+def test_a_record_is_compacted_only_once_the_result_is_within_the_limit() -> None:
+    """Regression: the record of 600 consecutive tasks takes less space than that of every fourth of
+    them. The state service refused the compacted record, every second anew."""
+
+    async def run() -> None:
+        store: Any = FakeStore()
+        store.spare_ops = 50.0
+        writer = Writer(store, SMALLEST, leader_guard(), lambda: True, lambda: None)
+        writing = asyncio.create_task(writer.run())
+        cluster, listener = new_cluster()
+        rounds = listener.records = RoundRecords(cluster, writer)
+        cluster.machine("m-000001", "", "", False, MachinePhase.UP, 0.0)
+        cluster.jobs["j-1"] = Job(spec(id="j-1", tasks=50_000))
+        cluster.jobs["j-1"].pending.remove(0, 49_000)
+        (part,) = rounds.write([Assignment("j-1", "m-000001", 600)], 0.0)
+        await let_writer_finish()
+        before = stored_records(store)
+        for attempt in part.attempts:
+            if attempt.task % 4:
+                cluster.release(attempt, 1.0)
+        tried = []
+        for second in range(100, 220):
+            rounds.compact(float(second))
+            tried += [second] * bool(writer.deferred)
+            await let_writer_finish()
+        assert tried == [100, 161]  # again after a pause
+        assert stored_records(store) == before
+        for attempt in part.attempts:
+            if attempt.task % 8:
+                cluster.release(attempt, 220.0)
+        rounds.compact(230.0)
+        await let_writer_finish()
+        (compacted,) = stored_records(store)
+        assert json_size(compacted.value) <= writer.value_limit
+        (entry,) = from_record(compacted.value)
+        assert list(Ranges(entry.tasks)) == list(range(49_000, 49_600, 8))
+        writer.stop()
+        await writing
+
+    asyncio.run(run())
+
+
 def plan_wide_gang(workers: Workers, machines: int) -> Plan:
     """Add machines, a small job, and a gang whose intent exceeds one value of 2 KiB. Returns their
     plan."""
