Divide deletions whose intent is larger than a value may be

With duties on, no machine is deleted any more: an intent that names 100 machines is refused with 400 where their names take more than a value may have (16 characters each at 2 KiB, 8 at 1 KiB).

Cause: a deletion named up to 100 machines, whatever the limit of a value. The holder answered REFUSED, after which the leader repeats the deletion under its name unchanged, before any other, for ever.

Change: the leader divides the machines between as many deletions as the limit requires. A holder whose intent is rejected as invalid answers INVALID; the leader then drops that deletion and names half as many machines from then on, so limits that nobody announced are met as well.

--- a/peathall/duties/duties.py
+++ b/peathall/duties/duties.py
@@ -139,7 +139,9 @@
     def delegate(self, term: int, writer: Writer) -> Delegation:
         """Set up delegation to the holders, for this term of this controller as leader."""
         holder_client = HolderClient(self.settings.name, self.record_cache, self.send, self.perform)
-        cloud = DelegatedCloud(term, lambda: writer.guard.version, holder_client)
+        cloud = DelegatedCloud(
+            term, lambda: writer.guard.version, holder_client, writer.value_limit
+        )
         compaction = DelegatedWrites(Duty.COMPACTION, term, writer, self.leads, holder_client)
         cleanup = DelegatedWrites(Duty.CLEANUP, term, writer, self.leads, holder_client)
         self._delegation = Delegation(cloud, compaction, cleanup, holder_client)
--- a/peathall/duties/executor.py
+++ b/peathall/duties/executor.py
@@ -189,6 +189,8 @@
         except ConflictError as exc:
             why = "its leader is replaced" if LEADER_KEY in exc.failed else "its name is in use"
             return ActionResult(Outcome.REFUSED, why=why)
+        except InvalidTransactionError as exc:
+            return ActionResult(Outcome.INVALID, why=str(exc))
         except StoreError as exc:
             return ActionResult(Outcome.REFUSED, why=str(exc))
         await self.checkpoint("committed", request.name)
--- a/tests/sim/test_duties.py
+++ b/tests/sim/test_duties.py
@@ -514,6 +514,36 @@
     run_scenario(610, scenario)
 
 
+@pytest.mark.parametrize("announced", [True, False])
+def test_an_intent_is_divided_until_it_is_within_the_limit_of_a_value(announced: bool) -> None:
+    """Regression: an intent with the names of 100 machines was refused under a limit of 1 KiB, and
+    its leader repeated it for ever; no machine was deleted any more."""
+
+    async def scenario(world: World, checker: SimulatedDutyChecker) -> None:
+        if announced:
+            texts = [controller_text_with_next_limits(i) for i in range(3)]
+            world.settings[:] = [
+                parse(text.replace("value_kb = 2.0", "value_kb = 1.0")) for text in texts
+            ]
+        await wait_until_duties_held(world)
+        world.state.value_kb = 1.0
+        world.cloud.capacity = 200
+        leader = world.leader()
+        assert leader is not None
+        host, controller = world.controllers[leader]
+        kind = {"label": "small", "vcpus": 4, "cards": 0, "ram_gb": 32, "startup_s": 1e6}
+        names = [world.cloud.provision(kind, "a", False).name for _ in range(100)]
+        delete = controller.leader.autoscaler.actions.delete(names)
+        await world.loop.create_task(delete, context=world.context(host))
+        assert set(names) <= checker.pending_deletions
+        assert not set(names) & world.workers.keys()
+        if not announced:  # the first, which is too large, is refused
+            assert [broken.split()[1] for broken in world.broken] == ["limits:"]
+            world.broken.clear()
+
+    run_scenario(611, scenario)
+
+
 def test_a_thousand_random_suspensions_and_crashes() -> None:
     """Holders and leaders are suspended at random, some until after their leases; some crash."""
 
