--- a/tests/unit/test_protocol_format.py
+++ b/tests/unit/test_protocol_format.py
@@ -1270,7 +1270,7 @@
         component = new_duties(RecordingHttpClient(), peer_sender(http))
         component.record_cache.holders = {duty: holder() for duty in duties.Duty}
         writer: Any = MagicMock()
-        writer.guard.version = 9
+        writer.guard.version, writer.value_limit = 9, 8192
         cloud = component.delegate(4, writer).cloud
         assert await cloud.provision(provision_request()) == ["m-1"]
         await cloud.delete(["m-1", "m-2"])
