Bound the record of cached images whatever machines it names

A record that was written under a larger limit names up to 107 machines. With 60 machines of 22 characters each and 2 KiB a value, the next write of the record raised IndexError in the writer, which ends the term of the leader, and of each one after it.

Cause: each machine of a record has an equal share of the value. Images were dropped until an entry fitted, beyond the last one where the share is smaller than the machine's name.

Change: machines for which the share has no room are left out, and sizes count as JSON. The records are hints; a missing one costs one fetch.

--- a/peathall/workers/image_cache.py
+++ b/peathall/workers/image_cache.py
@@ -19,6 +19,7 @@
 from peathall.store.writer import Writer
 
 IMAGE_CACHE_PREFIX = "cache/"
+EMPTY_RECORD_BYTES = json_size({"machines": {}})
 
 
 class ImageCacheRecords:
@@ -73,16 +74,26 @@
 
     def _mutation(self, key: str) -> Mutation | None:
         images_by_machine = {name: self._images(name) for name in self.machines_by_record[key]}
-        record = {name: images for name, images in images_by_machine.items() if images}
-        self.machines_by_record[key] = dict.fromkeys(record)
-        share = self.limit // max(1, len(record))
-        for name, images in record.items():
-            while json_size(images) + len(name) + 4 > share:
-                images.pop(0)  # the least recently used, which the worker evicts next
-        if record:
-            return Mutation({}, [Put(key, {"machines": record})])
+        cached = {name: images for name, images in images_by_machine.items() if images}
+        self.machines_by_record[key] = dict.fromkeys(cached)
+        machines = self._shorten(cached)
+        if machines:
+            return Mutation({}, [Put(key, {"machines": machines})])
         return Mutation({}, [Delete(key)]) if key in self.writer.versions else None
 
+    def _shorten(self, images_by_machine: dict[str, list[list[Any]]]) -> dict[str, list[list[Any]]]:
+        """The latest images of each machine for which its share of the record has room. Machines
+        for which it has room for none are left out."""
+        share = (self.limit - EMPTY_RECORD_BYTES) // max(1, len(images_by_machine))
+        shortened = {}
+        for name, images in images_by_machine.items():
+            latest = list(images)
+            while latest and json_size({name: latest}) > share:
+                latest.pop(0)  # the least recently used, which the worker evicts next
+            if latest:
+                shortened[name] = latest
+        return shortened
+
     def _images(self, name: str) -> list[list[Any]]:
         """The machine's images as stored (name, GB), the least recently used first."""
         machine = self.cluster.machines.get(name)
--- a/tests/unit/test_workers.py
+++ b/tests/unit/test_workers.py
@@ -7,6 +7,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from peathall import constants
 from peathall.autoscaling.autoscaler import Autoscaler
 from peathall.cluster.job import Attempt, AttemptPhase, Job, JobPhase
@@ -32,7 +34,7 @@
     TaskStatus,
     decode_heartbeat,
 )
-from peathall.protocol.state_service import KeyValue
+from peathall.protocol.state_service import Delete, KeyValue
 from peathall.store.writer import Writer
 from peathall.workers.delivery import DeliveryLimits
 from peathall.workers.events import IgnoredEvents
@@ -390,6 +392,37 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("machines", [1, 60, 130, 1000])
+@pytest.mark.parametrize("value_limit", [200, 1740])
+def test_a_record_of_cached_images_is_within_the_limit_however_many_machines_it_has(
+    machines: int, value_limit: int
+) -> None:
+    """Regression: a record that was written under a larger limit and names more machines than a
+    value may have ended the writer, and with it the term of every leader, at the next write."""
+
+    async def run() -> None:
+        factories: dict[str, Any] = {}
+        writer: Any = SimpleNamespace(
+            versions={}, value_limit=value_limit, defer=factories.__setitem__
+        )
+        cluster = new_cluster()[0]
+        names = [f"m-{number:020d}" for number in range(machines)]
+        machine = cluster.machine(names[0], "g", "a", False, MachinePhase.UP, 0.0)
+        caches = ImageCacheRecords(cluster, writer)
+        caches.schedule_write(machine)
+        (key,) = factories
+        images = [[f"img-{number:03d}", 3.5] for number in range(6)]
+        caches.load([KeyValue(key, {"machines": dict.fromkeys(names, images)}, 7)])
+        (op,) = factories[key]().ops
+        assert isinstance(op, Delete) or json_size(op.value) <= value_limit
+        stored = {} if isinstance(op, Delete) else op.value["machines"]
+        assert all(images[-len(kept) :] == kept for kept in stored.values())  # the latest
+        if machines * 45 < value_limit - 15:
+            assert stored.keys() == set(names)
+
+    asyncio.run(run())
+
+
 def test_answers_carry_at_most_as_many_commands_as_a_message_may_hold() -> None:
     """With hundreds of small tasks on one machine, the next answer carries the remaining starts."""
 
