Store machine types that are too many for one value in several records

At a site with ten machine types and the announced limit of 2 KiB, a leader that begins in an outage of the cloud answers every submission with 503 until the outage ends, and places nothing; followers without a leader as well.

Cause: the types were stored in one record if they fitted, and not at all otherwise. No log line told so.

Others are stored as parts, `types/SET/INDEX`, each with the number of parts. A set has keys of its own, earlier ones are deleted once all its parts are stored, and readers use the latest complete write, since a job would be rejected for a type that is missing. Both kinds of record are read by one scan in place of the one read.

test_recovery_restarts_after_a_failed_read: the first scan, which fails, is now that of the types; the check still holds that all is read anew after.

--- a/peathall/autoscaling/autoscaler.py
+++ b/peathall/autoscaling/autoscaler.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Protocol
 
 from peathall import constants
 from peathall.autoscaling.actions import ActionRouter, CloudActions, CloudError
@@ -22,6 +22,7 @@
 from peathall.cluster.state import ClusterState
 from peathall.config.platform import Params
 from peathall.placement.plan import Plan
+from peathall.protocol.state_service import KeyValue
 from peathall.store.writer import Writer
 from peathall.workers.workers import Workers
 
@@ -78,9 +79,9 @@
             cluster, cloud, params.cloud, workers, self.scale_in.note_failed
         )
 
-    def load_types(self, value: Any) -> None:
+    def load_types(self, items: list[KeyValue]) -> None:
         """Load the machine types last stored, after a failover."""
-        self.machine_types.load(value)
+        self.machine_types.load(items)
 
     def mark_deleting(self, names: set[str], now: float) -> None:
         """After a failover, mark machines whose deletion is committed: no task may start there."""
--- a/peathall/autoscaling/machine_types.py
+++ b/peathall/autoscaling/machine_types.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
+import logging
 from collections.abc import Callable
-from typing import Any
 
 from peathall import constants
+from peathall.autoscaling.machine_type_records import (
+    PARTS_PREFIX,
+    TypesTooLargeError,
+    read_machine_types,
+    write_machine_types,
+)
 from peathall.autoscaling.provider_client import CloudClient
 from peathall.cluster.state import ClusterState
-from peathall.protocol import codec
-from peathall.protocol.cloud import MachineType, decode_machine_types, encode_machine_types
-from peathall.protocol.state_service import Put
+from peathall.protocol.cloud import MachineType
+from peathall.protocol.state_service import KeyValue
 from peathall.store.writer import Writer
 
-MACHINE_TYPES_KEY = "types"  # key of the stored copy
+log = logging.getLogger("peathall.autoscaling")
 
 
 class MachineTypes:
@@ -31,10 +37,13 @@
         self._writer = writer
         self._on_first_known = on_first_known
         self._refreshed_at = -1e9
+        self._write_count = 0  # in this term
 
-    def load(self, value: Any) -> None:
-        """Load the types last stored, after a failover."""
-        self._set(decode_machine_types(value))
+    def load(self, items: list[KeyValue]) -> None:
+        """Load the types last stored, after a failover, from all records of machine types."""
+        for item in items:
+            self._writer.versions[item.key] = item.version
+        self._set(read_machine_types(items))
 
     def is_due(self, now: float) -> bool:
         """Whether to read the types: none are known, or their prices may have changed."""
@@ -49,14 +58,31 @@
         known = bool(self._cluster.types)
         if {t.name: t for t in types} != self._cluster.types:
             self._set(types)
-            # Stored, so that a leader that starts during an outage of the cloud can still
-            # validate jobs and place them.
-            value = encode_machine_types(types)
-            if codec.json_size(value) < self._writer.value_limit:
-                self._writer.submit([Put(MACHINE_TYPES_KEY, value)])
+            self._store(types)
         if not known:
             self._on_first_known()
 
+    def _store(self, types: list[MachineType]) -> None:
+        """Store the types, so that a leader that starts during an outage of the cloud can still
+        validate jobs and place them."""
+        self._write_count += 1
+        set_name = f"{self._cluster.term:08d}-{self._write_count:06d}"
+        try:
+            puts = write_machine_types(types, set_name, self._writer.value_limit)
+        except TypesTooLargeError as exc:
+            log.error("machine types not stored: type %s is larger than a value may be", exc)
+            return
+        earlier = [key for key in self._writer.versions if key.startswith(PARTS_PREFIX)]
+        stored = asyncio.gather(*(self._writer.submit([put]) for put in puts))
+        stored.add_done_callback(lambda done: self._delete_earlier(earlier, done))
+
+    def _delete_earlier(self, keys: list[str], stored: asyncio.Future[list[int]]) -> None:
+        """Delete the parts of earlier sets, once all records of the latest are stored."""
+        if stored.cancelled() or stored.exception() is not None:
+            return  # the next change of the types deletes them
+        for key in keys:
+            self._writer.defer_delete(key)
+
     def _set(self, types: list[MachineType]) -> None:
         self._cluster.types = {t.name: t for t in types}
         for machine in self._cluster.machines.values():
--- a/peathall/controller/controller.py
+++ b/peathall/controller/controller.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from peathall import constants
-from peathall.autoscaling.machine_types import MACHINE_TYPES_KEY
+from peathall.autoscaling.machine_type_records import MACHINE_TYPES_KEY, read_machine_types
 from peathall.autoscaling.provider_client import CloudClient
 from peathall.config.modes import Mode
 from peathall.config.platform import Settings, split_addr
@@ -35,7 +35,6 @@
 from peathall.peers.client import Peers
 from peathall.peers.redirected_workers import RedirectedWorkers
 from peathall.peers.server import FeatureRoutes, PeerServer
-from peathall.protocol.cloud import decode_machine_types
 from peathall.protocol.heartbeats import task_status_cache
 from peathall.store.client import StoreClient
 from peathall.store.errors import StoreError
@@ -212,9 +211,10 @@
         """Refresh the machine types for checking submissions while no leader is reachable."""
         while True:
             try:
-                item = await self.store.get(MACHINE_TYPES_KEY)
-                if item is not None:
-                    self.follower_service.set_types(decode_machine_types(item.value))
+                items, _ = await self.store.scan(MACHINE_TYPES_KEY)
+                types = read_machine_types(items)
+                if types:
+                    self.follower_service.set_types(types)
             except StoreError as exc:
                 log.debug(
                     "controller: machine types not refreshed, keeping the previous ones: %s", exc
--- a/peathall/leader/recovery.py
+++ b/peathall/leader/recovery.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from peathall import constants
-from peathall.autoscaling.machine_types import MACHINE_TYPES_KEY
+from peathall.autoscaling.machine_type_records import MACHINE_TYPES_KEY
 from peathall.jobs import records
 from peathall.leader.wiring import LeaderComponents
 from peathall.placement.rounds import ROUND_PREFIX
@@ -25,7 +25,7 @@
 class StoredState(Struct, frozen=True):
     """All records that a leader recovers from, as read; None if a record does not exist."""
 
-    types: KeyValue | None
+    types: list[KeyValue]
     live: list[KeyValue]
     live_revision: int  # of the state service when the live jobs were read
     done: list[KeyValue]
@@ -60,7 +60,7 @@
         self._load(stored)
 
     async def _read(self) -> StoredState:
-        types = await self._store.get(MACHINE_TYPES_KEY)
+        types, _ = await self._store.scan(MACHINE_TYPES_KEY)
         live, live_revision = await self._store.scan(records.LIVE_PREFIX)
         done, _ = await self._store.scan(records.DONE_TASKS_PREFIX)
         rounds, _ = await self._store.scan(ROUND_PREFIX)
@@ -82,9 +82,7 @@
 
     def _load(self, stored: StoredState) -> None:
         components = self._components
-        if stored.types is not None:
-            components.writer.versions[MACHINE_TYPES_KEY] = stored.types.version
-            components.autoscaler.load_types(stored.types.value)
+        components.autoscaler.load_types(stored.types)
         components.cells.load(stored.cells)
         components.jobs.load(stored.live, stored.done, stored.live_revision)
         components.cells.load_handoffs(stored.cells)
--- a/tests/sim/test_record_sizes.py
+++ b/tests/sim/test_record_sizes.py
@@ -12,7 +12,9 @@
 import pytest
 
 from peathall.config.platform import parse
+from tests.sim.cloud import MACHINE_TYPES
 from tests.sim.days import draw_job, virtual_loop
+from tests.sim.net import VirtualLoop
 from tests.sim.sites import controller_text_with_next_limits
 from tests.sim.world import World
 
@@ -77,14 +79,20 @@
     }  # fmt: skip
 
 
+def lowered_world(loop: VirtualLoop, seed: int) -> World:
+    """A site with two machines, whose state service has lowered its limits as announced."""
+    world = World(loop, seed, [parse(controller_text_with_next_limits(i)) for i in range(3)])
+    world.cloud.capacity = MACHINES
+    world.state.value_kb, world.state.txn_ops = 2.0, 4
+    world.state.rate_limits = (200.0, 30.0)
+    return world
+
+
 def play_scattered_day(seed: int, day: ScatteredDay) -> World:
     """Plays the day until the array is done, or until the end of the day."""
     logging.getLogger("peathall").setLevel(logging.CRITICAL)
     with virtual_loop(seed) as loop:
-        world = World(loop, seed, [parse(controller_text_with_next_limits(i)) for i in range(3)])
-        world.cloud.capacity = MACHINES
-        world.state.value_kb, world.state.txn_ops = 2.0, 4
-        world.state.rate_limits = (200.0, 30.0)
+        world = lowered_world(loop, seed)
 
         async def stop_machine() -> None:
             if day.machine_dies_at_s is not None:
@@ -130,3 +138,35 @@
     world = play_scattered_day(seed, draw_compaction(random.Random(seed)))
     assert world.broken == []
     assert world.last_response["j-000001"] == "done"
+
+
+MANY_TYPES = [
+    MACHINE_TYPES[0] | {"label": f"small-{n}", "rate": 40.0 + n, "market_price": 30.0 + n}
+    for n in range(10)
+]
+
+
+def test_a_new_leader_knows_many_machine_types_while_the_cloud_is_down(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Regression: machine types that exceeded the limit of a value were not stored. A leader that
+    began in an outage of the cloud accepted no job until its end."""
+    monkeypatch.setattr("tests.sim.cloud.MACHINE_TYPES", MACHINE_TYPES + MANY_TYPES)
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual_loop(540) as loop:
+        world = lowered_world(loop, 540)
+
+        async def play() -> None:
+            await world.begin()
+            await world.submit(array_before(), "10.9.0.2")
+            world.cloud.down_until = loop.now + 60.0
+            for index in range(world.size):
+                world.crash_controller(index, 3.0)
+            await asyncio.sleep(20.0)
+            user = world.submit(array_before() | {"id": "j-000003", "vcpus": 1.0}, "10.9.0.3")
+            await asyncio.sleep(10.0)
+            assert "j-000003" in world.accepted
+            await user
+
+        loop.run_until_complete(play())
+    assert world.broken == []
--- a/tests/unit/test_leader.py
+++ b/tests/unit/test_leader.py
@@ -158,7 +158,7 @@
         leader, _ = make_leader(store)
         with caplog.at_level(logging.INFO, "peathall.leader"):
             async with serving(leader):
-                assert store.scanned[:2] == ["live/", "live/"]
+                assert store.scanned[:3] == ["types", "types", "live/"]
                 assert leader.is_active()
 
     run(test)
--- a/tests/unit/test_stored_format.py
+++ b/tests/unit/test_stored_format.py
@@ -562,7 +562,7 @@
             await autoscaler.machine_types.refresh(0.0)
             await store.next_write("types")
             workers.cluster.types = {}
-            autoscaler.load_types(key_value("types", MACHINE_TYPES).value)
+            autoscaler.load_types([key_value("types", MACHINE_TYPES)])
             assert workers.cluster.types == {"g": machine_type()}
 
     assert_written(run_with_store(test), {"types": [MACHINE_TYPES]})
