Plan smaller values after the state service rejected one

Seen: under a limit of a value that nobody announced, as at a controller whose settings lack `state.next`, the records of rounds, of done tasks, of jobs and of final statuses are written again unchanged after each 400, for ever; an array of 1,150 to 1,200 tasks never ends.

Cause: every caller took the limit of a value from the settings, once. The answer 400 changed nothing, so the next plan was the same.

Change: the writer lowers its limit to half of the rejected value, and all callers read it when they plan a write: rounds, shared records (whose entries are written again in smaller ones), blocks of done tasks (the key names the block's size), division of records, image caches, intents. A holder's INVALID counts as well. The limit does not fall below 870 bytes, which a job's record needs. The jobs of a rejected round pause for 2 s, so that a record that can't be made smaller delays no other job's round.

--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -48,6 +48,8 @@
 # Longest wait of a watch for changes. A silent partition is noticed after this plus the timeout.
 WATCH_HOLD_S = 6.0
 VALUE_SIZE_SHARE = 0.85  # of value_kb is used: the service measures values in another encoding
+# Of the limit that is assumed after the service rejected larger values: a job's record fits.
+MIN_VALUE_LIMIT_BYTES = 870
 # Operations of the largest indivisible transaction: a job's final status, the record without the
 # job, and the record in which another controller accepted it.
 MIN_TRANSACTION_OPS = 3
@@ -144,6 +146,8 @@
 # Minimum age at which a round record is compacted: most are deleted earlier, without that write.
 ROUND_COMPACT_AGE_S = 60.0
 ROUND_COMPACT_FACTOR = 4  # times the live attempts: a record that names more is compacted
+# Pause of the jobs of a round record that was rejected: another round may plan the same record.
+ROUND_REJECTED_BACKOFF_S = 2.0
 ROUND_MAX_WAIT_S = 2.0  # between rounds without a request: deadlines and health change with time
 RECENT_GANG_S = 180.0  # after a gang of a class arrives, capacity is left free for the next one
 STABLE_START_S = 31.0  # a start that is stopped within 30 s does not count for the objectives
--- a/peathall/duties/delegated_cloud.py
+++ b/peathall/duties/delegated_cloud.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import sys
 from collections.abc import Callable
 
 from peathall import constants
@@ -34,14 +35,15 @@
         term: int,
         leader_version: Callable[[], int],
         holder_client: HolderClient,
-        value_limit: int,
+        value_limit: Callable[[], int],
     ) -> None:
         """`leader_version`: version of the leader key, a condition of the holders' commits.
         `value_limit`: bytes per record, as counted by `json_size`."""
         self._term = term
         self._leader_version = leader_version
         self._holder_client = holder_client
-        self._intent_limit = value_limit  # bytes of the intent of one deletion
+        self._value_limit = value_limit
+        self._rejected_limit = sys.maxsize  # half of the bytes of the latest rejected intent
         self._deletion_count = 0  # numbers the deletions of this term
         self._deletion: Deletion | None = None  # requested and not known to be done
         self._concurrency = asyncio.Semaphore(constants.DUTY_MAX_CONCURRENT_REQUESTS)
@@ -80,7 +82,7 @@
                 self._deletion = None  # a repetition would be rejected as well
                 if len(deletion.machines) == 1:
                     raise
-                self._intent_limit = self._intent_bytes(deletion) // 2
+                self._rejected_limit = self._intent_bytes(deletion) // 2
                 continue
             self._deletion = None
             waiting -= set(deletion.machines)
@@ -90,11 +92,12 @@
         self._deletion_count += 1
         # The term makes the name unique among all deletions, of earlier terms as well.
         name = f"d-{self._term}-{self._deletion_count}"
+        limit = min(self._value_limit(), self._rejected_limit)
         size = self._intent_bytes(Deletion(name, []))
         chosen: list[str] = []
         for machine in machines:
             size += json_size(machine) + 1  # with the comma
-            if chosen and size > self._intent_limit:
+            if chosen and size > limit:
                 break
             chosen.append(machine)
         return Deletion(name, chosen)
--- a/peathall/duties/delegated_writes.py
+++ b/peathall/duties/delegated_writes.py
@@ -167,6 +167,7 @@
             result.why,
         )
         if len(batch) == 1:
+            self.writer.note_rejected(batch[0])
             fail_mutations(batch, InvalidTransactionError(result.why))
             return
         for mutation in batch:
--- a/peathall/duties/duties.py
+++ b/peathall/duties/duties.py
@@ -140,7 +140,7 @@
         """Set up delegation to the holders, for this term of this controller as leader."""
         holder_client = HolderClient(self.settings.name, self.record_cache, self.send, self.perform)
         cloud = DelegatedCloud(
-            term, lambda: writer.guard.version, holder_client, writer.value_limit
+            term, lambda: writer.guard.version, holder_client, lambda: writer.value_limit
         )
         compaction = DelegatedWrites(Duty.COMPACTION, term, writer, self.leads, holder_client)
         cleanup = DelegatedWrites(Duty.CLEANUP, term, writer, self.leads, holder_client)
--- a/peathall/jobs/archive.py
+++ b/peathall/jobs/archive.py
@@ -48,10 +48,10 @@
         self.background = background
         self.index = RecordIndex()
         self.duplicate_removal = DuplicateRemoval(
-            cluster, self.index, cleanup, writer.value_limit, self.archive_if_possible
+            cluster, self.index, cleanup, writer, self.archive_if_possible
         )
         self.division = RecordDivision(
-            self.index, shared_records, self.duplicate_removal, background, writer.value_limit
+            self.index, shared_records, self.duplicate_removal, background, writer
         )
 
     def add(self, job: Job, record_key: str) -> None:
--- a/peathall/jobs/completion.py
+++ b/peathall/jobs/completion.py
@@ -11,9 +11,10 @@
 from peathall.jobs.background import BackgroundTasks
 from peathall.jobs.final_status import FinalStatuses
 from peathall.jobs.remote import RemoteJobs
-from peathall.protocol.codec import struct_to_builtins
+from peathall.protocol.codec import json_size, struct_to_builtins
 from peathall.protocol.jobs import JobStatus
 from peathall.protocol.state_service import Put
+from peathall.store.errors import InvalidTransactionError
 from peathall.store.mutation import Mutation
 from peathall.store.writer import Writer
 
@@ -36,7 +37,6 @@
         self.archive = archive
         self.background = background
         self.remote = remote
-        self.block_size = records.tasks_per_block(writer.limits.value_kb)  # tasks of one record
 
     def note_done(self, job: Job) -> None:
         """Store the tasks of the job that were reported done, or the job's completion if all are
@@ -73,12 +73,24 @@
         is_live = self.cluster.jobs.get(job.spec.id) is job  # a borrowed job may have ended
         if task is None or not is_live or job.phase is not JobPhase.ACTIVE:
             return None
-        block = task // self.block_size
-        record = records.done_record(job.done, block, self.block_size)
-        key = records.done_key(job.spec.id, block, self.block_size)
+        block_size = records.tasks_per_block(self.writer.value_limit)
+        block = task // block_size
+        record = records.done_record(job.done, block, block_size)
+        key = records.done_key(job.spec.id, block, block_size)
         mutation = Mutation({}, [Put(key, struct_to_builtins(record))])
+        mutation.done.add_done_callback(lambda done: self._divide_if_rejected(job, record, done))
         return mutation.then(lambda: self._mark_stored(job, key, record))
 
+    def _divide_if_rejected(
+        self, job: Job, record: records.DoneRecord, done: asyncio.Future[int]
+    ) -> None:
+        """Store a block that was too large again in smaller blocks. The writer lowers its limit
+        when the service rejects a value."""
+        if done.cancelled() or not isinstance(done.exception(), InvalidTransactionError):
+            return
+        if json_size(struct_to_builtins(record)) > self.writer.value_limit:
+            self.note_done(job)
+
     def _mark_stored(self, job: Job, key: str, record: records.DoneRecord) -> None:
         job.done_keys.add(key)
         for low, high in record.done:
--- a/peathall/jobs/duplicates.py
+++ b/peathall/jobs/duplicates.py
@@ -16,6 +16,7 @@
 from peathall.protocol.state_service import Put
 from peathall.store.deferred_writes import DeferredWriter
 from peathall.store.mutation import Mutation
+from peathall.store.writer import Writer
 
 
 class DuplicateRemoval:
@@ -26,13 +27,13 @@
         cluster: ClusterState,
         index: RecordIndex,
         cleanup: DeferredWriter,
-        value_limit: int,
+        writer: Writer,
         on_removed: Callable[[Job], None],
     ) -> None:
         self.cluster = cluster
         self.index = index
         self.cleanup = cleanup
-        self.value_limit = value_limit  # bytes per record, as counted by `json_size`
+        self.writer = writer  # knows the limit of a value
         self.on_removed = on_removed  # called with each job that is now in one record only
 
     def schedule(self, record_key: str) -> None:
@@ -47,7 +48,7 @@
         operation = rewrite_or_delete(
             record_key, [self.cluster.jobs[job_id].spec for job_id in held]
         )
-        if isinstance(operation, Put) and json_size(operation.value) > self.value_limit:
+        if isinstance(operation, Put) and json_size(operation.value) > self.writer.value_limit:
             return None  # scheduled again once a job of the record is archived
         return Mutation({}, [operation]).then(lambda: self._removed(record_key))
 
--- a/peathall/jobs/record_division.py
+++ b/peathall/jobs/record_division.py
@@ -13,6 +13,7 @@
 from peathall.protocol.codec import json_size
 from peathall.protocol.jobs import spec_to_record
 from peathall.store.shared_records import SharedRecordWriter
+from peathall.store.writer import Writer
 
 
 class RecordDivision:
@@ -28,13 +29,13 @@
         shared_records: SharedRecordWriter,
         duplicate_removal: DuplicateRemoval,
         background: BackgroundTasks,
-        value_limit: int,
+        writer: Writer,
     ) -> None:
         self.index = index
         self.shared_records = shared_records
         self.duplicate_removal = duplicate_removal
         self.background = background
-        self.value_limit = value_limit  # bytes per record, as counted by `json_size`
+        self.writer = writer  # knows the limit of a value
 
     def start(self, record_key: str, jobs: list[Job]) -> None:
         """Divide the record, which contains these jobs, unless it is being divided already."""
@@ -44,7 +45,7 @@
         self.background.spawn(self._move(record_key, self._jobs_to_move(jobs)))
 
     def _jobs_to_move(self, jobs: list[Job]) -> list[Job]:
-        limit = self.value_limit - json_size({"jobs": []})
+        limit = self.writer.value_limit - json_size({"jobs": []})
         sizes = [json_size(spec_to_record(job.spec)) + 1 for job in jobs]
         # A job that is too large for any record stays in this one until it is archived.
         left = limit - sum(size for size in sizes if size > limit)
--- a/peathall/jobs/records.py
+++ b/peathall/jobs/records.py
@@ -21,7 +21,6 @@
 import msgspec
 from msgspec import Struct, field
 
-from peathall import constants
 from peathall.cluster.ranges import Ranges
 from peathall.protocol.jobs import JobSpec, JobStatus, spec_to_record
 from peathall.protocol.state_service import Delete, Put
@@ -60,10 +59,10 @@
     done: int
 
 
-def tasks_per_block(value_kb: float) -> int:
-    """Number of tasks per block such that the record of a block fits into `value_kb` KiB."""
+def tasks_per_block(value_limit: int) -> int:
+    """Number of tasks per block such that the record of a block has at most `value_limit` bytes."""
     # The worst case is that every second task is done: one range for every two tasks.
-    return max(2, int(value_kb * 1024 * constants.VALUE_SIZE_SHARE / RANGE_BYTES) * 2)
+    return max(2, value_limit // RANGE_BYTES * 2)
 
 
 def done_key(job_id: str, block: int, size: int) -> str:
--- a/peathall/placement/starter.py
+++ b/peathall/placement/starter.py
@@ -7,13 +7,14 @@
 from collections.abc import Callable
 from itertools import groupby
 
+from peathall import constants
 from peathall.cluster.job import AttemptPhase, JobHealth, JobPhase
 from peathall.cluster.state import ClusterState
 from peathall.placement.job_views import is_starving
 from peathall.placement.plan import Assignment
 from peathall.placement.rounds import RecordPart, RoundRecords, group_by_gang
 from peathall.placement.snapshot import Snapshot
-from peathall.store.errors import StoreError
+from peathall.store.errors import InvalidTransactionError, StoreError
 from peathall.workers.workers import Workers
 
 log = logging.getLogger("peathall.placement")
@@ -104,6 +105,8 @@
             except StoreError as exc:
                 log.error("round record %s not stored, tasks not started: %s", part.key, exc)
                 failed.append(part)
+                if isinstance(exc, InvalidTransactionError):
+                    self._delay_jobs(part)
         # No record of these attempts was written, and no start command was sent.
         abandoned = [attempt for part in failed for attempt in part.attempts]
         broken_gangs = {attempt.job for attempt in abandoned if attempt.job.spec.gang}
@@ -114,6 +117,13 @@
         for part in stored:
             self._allow_start_commands(part)
 
+    def _delay_jobs(self, part: RecordPart) -> None:
+        """Let the jobs of a rejected record wait. Records are smaller once the writer has lowered
+        its limit of a value; if they can't be, no round of other jobs is delayed."""
+        until = self.loop.time() + constants.ROUND_REJECTED_BACKOFF_S
+        for job in {attempt.job for attempt in part.attempts}:
+            job.backoff_until = max(job.backoff_until, until)
+
     def _allow_start_commands(self, part: RecordPart) -> None:
         """Allow the start commands of a stored record, and have them pushed to the machines."""
         now = self.loop.time()
--- a/peathall/store/shared_records.py
+++ b/peathall/store/shared_records.py
@@ -7,7 +7,7 @@
 
 from peathall.protocol.codec import json_size
 from peathall.protocol.state_service import Put
-from peathall.store.errors import ConflictError, LeadershipLostError
+from peathall.store.errors import ConflictError, InvalidTransactionError, LeadershipLostError
 from peathall.store.mutation import Mutation
 from peathall.store.phase import WriterPhase
 from peathall.store.writer import Writer
@@ -39,7 +39,6 @@
         self.writer = writer
         self.key_prefix = f"{prefix}{term:08d}-"
         self.field = field  # of the record that holds the list of entries
-        self.max_record_size = writer.value_limit  # bytes
         # A transaction may have four times as many conditions as operations; a quarter of them is
         # left to its other mutations.
         self.max_conditions = 3 * writer.limits.txn_ops
@@ -79,7 +78,8 @@
         }
         record = {self.field: [entry.value for entry in entries]}
         mutation = Mutation(conditions, [Put(key, record)])
-        mutation.done.add_done_callback(lambda done: self._settle(key, entries, done))
+        size = json_size(record)
+        mutation.done.add_done_callback(lambda done: self._settle(key, entries, size, done))
         return mutation
 
     def _take_entries(self) -> list[SharedRecordEntry]:
@@ -87,10 +87,11 @@
         into one transaction; at least one if any is waiting."""
         entries: list[SharedRecordEntry] = []
         size, conditions = json_size({self.field: []}), set[str]()
+        max_size = self.writer.value_limit
         for entry in self._waiting:
             size += entry.size + 1
             condition_count = len(conditions) + len(entry.conditions)
-            if entries and (size > self.max_record_size or condition_count > self.max_conditions):
+            if entries and (size > max_size or condition_count > self.max_conditions):
                 break
             entries.append(entry)
             conditions |= entry.conditions.keys()
@@ -98,9 +99,12 @@
         return entries
 
     def _settle(
-        self, key: str, entries: list[SharedRecordEntry], done: asyncio.Future[int]
+        self, key: str, entries: list[SharedRecordEntry], size: int, done: asyncio.Future[int]
     ) -> None:
         error = done.exception() if not done.cancelled() else LeadershipLostError()
+        # The writer lowers its limit if the record may have been too large.
+        divisible = len(entries) > 1 and size > self.writer.value_limit
+        too_large = isinstance(error, InvalidTransactionError) and divisible
         failed = set(error.failed) if isinstance(error, ConflictError) else set()
         repeated: list[SharedRecordEntry] = []
         for entry in entries:
@@ -108,6 +112,8 @@
                 continue
             if error is None:
                 entry.stored.set_result(key)
+            elif too_large:
+                repeated.append(entry)  # in a smaller record
             elif failed and key not in failed and not failed & entry.conditions.keys():
                 repeated.append(entry)  # only conditions of other entries failed
             else:
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -9,11 +9,13 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from peathall import constants
 from peathall.async_tasks import wait_until_set
 from peathall.config.platform import StateSettings
+from peathall.protocol.codec import json_size
 from peathall.protocol.state_service import Delete, Put
 from peathall.store.client import StoreClient
 from peathall.store.committer import (
@@ -29,6 +31,8 @@
 from peathall.store.phase import WriterPhase, WriterState
 from peathall.store.transaction import GuardKey, Transaction
 
+log = logging.getLogger("peathall.store")
+
 
 class Writer:
     """Queues mutations and commits them in batches, one transaction at a time.
@@ -51,7 +55,9 @@
     ) -> None:
         self.store = store
         self.limits = limits
-        self.value_limit = int(limits.value_kb * 1024 * constants.VALUE_SIZE_SHARE)  # bytes
+        # Bytes of a value, as counted by `json_size`. Lowered when the service rejects a smaller
+        # one, so callers read it whenever they plan a write.
+        self.value_limit = int(limits.value_kb * 1024 * constants.VALUE_SIZE_SHARE)
         self.guard = guard
         self.lease_is_valid = lease_is_valid
         self.on_leadership_lost = on_leadership_lost
@@ -207,11 +213,26 @@
         """Commit each mutation of a rejected batch on its own, so that only those fail that cause
         the rejection. Repeating the batch would block all later ones."""
         if len(batch) == 1:
+            self.note_rejected(batch[0])
             fail_mutations(batch, error)
             return
         for mutation in batch:
             await self._commit([mutation])
 
+    def note_rejected(self, mutation: Mutation) -> None:
+        """The service never accepts this mutation. If a value of it may be too large, lower the
+        limit of a value: the service may have lowered its limit without announcing that."""
+        values = [op.value for op in mutation.ops if isinstance(op, Put)]
+        largest = max(map(json_size, values), default=0)
+        limit = max(constants.MIN_VALUE_LIMIT_BYTES, largest // 2)
+        if largest > constants.MIN_VALUE_LIMIT_BYTES and limit < self.value_limit:
+            log.error(
+                "a value of %d bytes was rejected: values have at most %d bytes from now on",
+                largest,
+                limit,
+            )
+            self.value_limit = limit
+
     def _abandon(self, batch: list[Mutation]) -> None:
         fail_mutations(batch, LeadershipLostError())
         if not self._state.is_stopped:
--- a/peathall/workers/image_cache.py
+++ b/peathall/workers/image_cache.py
@@ -29,7 +29,6 @@
     def __init__(self, cluster: ClusterState, writer: Writer) -> None:
         self.cluster = cluster
         self.writer = writer
-        self.limit = writer.value_limit  # bytes; maximum size of a record
         # Images (name, GB) by machine, from stored records, until the machine is confirmed.
         self.loaded_images: dict[str, list[tuple[str, float]]] = {}
         # Names of the machines in each record, by record key; the inner dict is an ordered set.
@@ -66,7 +65,7 @@
         The number is doubled when the share of a machine would be too small, since doubling leaves
         half of the machines in their record.
         """
-        machines_per_record = max(1, self.limit // constants.IMAGE_CACHE_ENTRY_BYTES)
+        machines_per_record = max(1, self.writer.value_limit // constants.IMAGE_CACHE_ENTRY_BYTES)
         count = constants.IMAGE_CACHE_RECORDS
         while count * machines_per_record < len(self.cluster.machines):
             count *= 2
@@ -84,7 +83,7 @@
     def _shorten(self, images_by_machine: dict[str, list[list[Any]]]) -> dict[str, list[list[Any]]]:
         """The latest images of each machine for which its share of the record has room. Machines
         for which it has room for none are left out."""
-        share = (self.limit - EMPTY_RECORD_BYTES) // max(1, len(images_by_machine))
+        share = (self.writer.value_limit - EMPTY_RECORD_BYTES) // max(1, len(images_by_machine))
         shortened = {}
         for name, images in images_by_machine.items():
             latest = list(images)
--- a/tests/sim/test_record_sizes.py
+++ b/tests/sim/test_record_sizes.py
@@ -15,13 +15,16 @@
 from tests.sim.cloud import MACHINE_TYPES
 from tests.sim.days import draw_job, virtual_loop
 from tests.sim.net import VirtualLoop
-from tests.sim.sites import controller_text_with_next_limits
+from tests.sim.sites import controller_text, controller_text_with_next_limits
 from tests.sim.world import World
 
 MACHINES = 2  # of type big, and the cloud has no more
 TASK_CPUS, TASK_RAM_GB = 0.02, 0.1  # several hundred tasks fit on a machine
 BEGIN_S = 20.0  # after its submission the array has begun, and its short tasks are done
 DAY_S = 500.0
+# Under limits that were not announced: two terms at most, each of which halves values of 8 KiB
+# twice until they have less than 2 KiB. A rejected transaction is repeated by its mutations.
+MAX_REJECTED_VALUES = 2 * 2 * 2
 
 
 @dataclass(frozen=True)
@@ -79,20 +82,23 @@
     }  # fmt: skip
 
 
-def lowered_world(loop: VirtualLoop, seed: int) -> World:
-    """A site with two machines, whose state service has lowered its limits as announced."""
-    world = World(loop, seed, [parse(controller_text_with_next_limits(i)) for i in range(3)])
+def lowered_world(loop: VirtualLoop, seed: int, announced: bool = True) -> World:
+    """A site with two machines, whose state service has lowered its limits. If that was not
+    announced, only the limit of a value is lower."""
+    text = controller_text_with_next_limits if announced else controller_text
+    world = World(loop, seed, [parse(text(i)) for i in range(3)])
     world.cloud.capacity = MACHINES
-    world.state.value_kb, world.state.txn_ops = 2.0, 4
-    world.state.rate_limits = (200.0, 30.0)
+    world.state.value_kb = 2.0
+    if announced:
+        world.state.txn_ops, world.state.rate_limits = 4, (200.0, 30.0)
     return world
 
 
-def play_scattered_day(seed: int, day: ScatteredDay) -> World:
+def play_scattered_day(seed: int, day: ScatteredDay, announced: bool = True) -> World:
     """Plays the day until the array is done, or until the end of the day."""
     logging.getLogger("peathall").setLevel(logging.CRITICAL)
     with virtual_loop(seed) as loop:
-        world = lowered_world(loop, seed)
+        world = lowered_world(loop, seed, announced)
 
         async def stop_machine() -> None:
             if day.machine_dies_at_s is not None:
@@ -140,6 +146,17 @@
     assert world.last_response["j-000001"] == "done"
 
 
+@pytest.mark.parametrize("seed", [504, 507, 508, 509])
+def test_values_are_smaller_after_the_state_service_rejected_one(seed: int) -> None:
+    """Regression: under a limit that nobody announced, records of rounds and of done tasks were
+    written again unchanged after each 400, and the tasks waited for ever."""
+    world = play_scattered_day(seed, draw_lost_machine(random.Random(seed)), announced=False)
+    assert world.last_response["j-000001"] == "done"
+    rules = [broken.split()[1] for broken in world.broken]
+    assert set(rules) == {"limits:"}
+    assert len(rules) <= MAX_REJECTED_VALUES
+
+
 MANY_TYPES = [
     MACHINE_TYPES[0] | {"label": f"small-{n}", "rate": 40.0 + n, "market_price": 30.0 + n}
     for n in range(10)
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -269,7 +269,7 @@
 
 
 def test_records_stay_under_the_size_limit() -> None:
-    size = tasks_per_block(8.0)
+    size = tasks_per_block(int(8 * 1024 * constants.VALUE_SIZE_SHARE))
     alternate_tasks = Ranges([(n, n + 1) for n in range(99_000, 99_000 + 3 * size, 2)])
     for block in range(99_000 // size, (99_000 + 3 * size) // size + 1):
         assert json_size(struct_to_builtins(done_record(alternate_tasks, block, size))) < 8 * 1024
@@ -313,6 +313,36 @@
     assert results == [store.data["a"][1], store.data["b"][1]]
 
 
+def test_shared_records_are_smaller_after_the_state_service_rejected_one() -> None:
+    """Regression: all entries of a rejected record failed, and were sent again in the same one."""
+
+    class SizeLimitedStore(FakeStore):
+        rejected = 0
+
+        async def commit(self, conditions: dict[str, int], ops: list[Any]) -> int:
+            if any(isinstance(op, Put) and json_size(op.value) > 2048 for op in ops):
+                self.rejected += 1
+                raise InvalidTransactionError("commit: 400")
+            return await super().commit(conditions, ops)
+
+    async def run() -> None:
+        store = SizeLimitedStore()
+        writer = new_writer(store)
+        shared = SharedRecordWriter(writer, 7, "live/jobs/", "jobs")
+        async with running(writer):
+            stored = [shared.add({"id": f"j-{n}", "text": "x" * 100}) for n in range(200)]
+            large = shared.add({"id": "j-200", "text": "x" * 3000})
+            keys = [await entry for entry in stored]
+            with pytest.raises(InvalidTransactionError):
+                await large  # alone in its record
+        assert all(json_size(store.data[key][0]) <= 2048 for key in keys)
+        jobs = [job["id"] for key in dict.fromkeys(keys) for job in store.data[key][0]["jobs"]]
+        assert sorted(jobs) == sorted(f"j-{n}" for n in range(200))
+        assert store.rejected <= 3  # 8 KiB are halved twice, and the large value
+
+    asyncio.run(run())
+
+
 def test_keys_of_done_tasks_name_the_job_and_differ_between_block_sizes() -> None:
     """Controllers of two versions, or with two value size limits, write blocks of different sizes.
     Under a common key they would overwrite each other."""
