Keep transactions within 64 KiB with their conditions, whatever value_kb is

Change: a value has at most 47 KiB, and a transaction at most 200 conditions. The limits of values and conditions now stand in StateSettings alone; the limit of a value stood there, in the writer and in the controller. No change where value_kb is 55 or less and txn_ops 50 or less.

--- a/peathall/config/platform.py
+++ b/peathall/config/platform.py
@@ -99,6 +99,18 @@
         write rate limits it: a larger transaction would never be accepted."""
         return max(constants.MIN_TRANSACTION_OPS, min(self.txn_ops, int(self.write_rps)))
 
+    @property
+    def max_value_bytes(self) -> int:
+        """Maximum size of a value, as counted by `codec.json_size`."""
+        limit = int(self.value_kb * 1024 * constants.VALUE_SIZE_SHARE)
+        return min(limit, constants.MAX_VALUE_BYTES)
+
+    @property
+    def max_conditions(self) -> int:
+        """Maximum number of conditions in one transaction."""
+        limit = constants.TXN_CONDITIONS_PER_OP * self.txn_ops
+        return min(limit, constants.MAX_TXN_CONDITIONS)
+
     def lowest(self) -> StateSettings:
         """The lower of the present and the announced value of each limit: since the time of the
         change is not known, requests keep to both from the start."""
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -58,7 +58,10 @@
 # than the rate ever allows.
 MAX_RATE_REFUSALS = 8
 TXN_CONDITIONS_PER_OP = 4  # times txn_ops: limit of conditions in one transaction (protocol)
-MAX_TXN_BYTES = 48 * 1024  # of one transaction, with a margin to the protocol's 64 KiB
+# Of the operations of one transaction, which has at most 64 KiB (protocol) with its conditions.
+MAX_TXN_BYTES = 48 * 1024
+MAX_TXN_CONDITIONS = 200  # some 80 bytes each, besides the operations
+MAX_VALUE_BYTES = 47 * 1024  # a transaction has room for one, whatever value_kb is
 
 # --- leadership ---------------------------------------------------------------------------------
 LEADER_LEASE_TTL_S = 3.0  # failover waits this long; one slow renewal must not lose the lease
--- a/peathall/controller/controller.py
+++ b/peathall/controller/controller.py
@@ -111,9 +111,8 @@
         redirected = RedirectedWorkers()
         health = ControllerHealth(self.store, self.peers)
         router = JobRequestRouter(self.leaders, self.peers, self.follower_service, queue)
-        max_record_bytes = params.state.value_kb * 1024 * constants.VALUE_SIZE_SHARE
         self.public_routes = PublicRoutes(
-            UserRoutes(router, queue, health, max_record_bytes, self.wall),
+            UserRoutes(router, queue, health, params.state.max_value_bytes, self.wall),
             WorkerRoutes(self.leaders, redirected, queue, lambda: self.public_listener.near_limit),
             health,
         )
--- a/peathall/controller/user_routes.py
+++ b/peathall/controller/user_routes.py
@@ -37,7 +37,7 @@
         router: JobRequestRouter,
         queue: RequestQueue,
         health: ControllerHealth,
-        max_record_bytes: float,
+        max_record_bytes: int,
         wall: Callable[[], float],
     ) -> None:
         self._router = router
--- a/peathall/store/mutation.py
+++ b/peathall/store/mutation.py
@@ -44,7 +44,7 @@
 
     def __init__(self, limits: StateSettings) -> None:
         self.max_ops = limits.max_operations
-        self.max_conditions = constants.TXN_CONDITIONS_PER_OP * limits.txn_ops
+        self.max_conditions = limits.max_conditions
         self.mutations: list[Mutation] = []
         self.op_count = 0
         self._size = 0  # bytes
--- a/peathall/store/shared_records.py
+++ b/peathall/store/shared_records.py
@@ -39,9 +39,8 @@
         self.writer = writer
         self.key_prefix = f"{prefix}{term:08d}-"
         self.field = field  # of the record that holds the list of entries
-        # A transaction may have four times as many conditions as operations; a quarter of them is
-        # left to its other mutations.
-        self.max_conditions = 3 * writer.limits.txn_ops
+        # A quarter of a transaction's conditions is left to its other mutations.
+        self.max_conditions = writer.limits.max_conditions * 3 // 4
         self._last_number = 0  # number of the latest record of this term
         self._waiting: list[SharedRecordEntry] = []
 
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -57,7 +57,7 @@
         self.limits = limits
         # Bytes of a value, as counted by `json_size`. Lowered when the service rejects a smaller
         # one, so callers read it whenever they plan a write.
-        self.value_limit = int(limits.value_kb * 1024 * constants.VALUE_SIZE_SHARE)
+        self.value_limit = limits.max_value_bytes
         self.guard = guard
         self.lease_is_valid = lease_is_valid
         self.on_leadership_lost = on_leadership_lost
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -17,7 +17,7 @@
 from peathall.leadership.lease import HeldLease, fencing_token, first_number_of_term
 from peathall.placement.round_entries import RoundEntry, from_record, split_entries, to_record
 from peathall.protocol.codec import json_size, struct_to_builtins
-from peathall.protocol.state_service import KeyValue, Put, WatchEvent
+from peathall.protocol.state_service import KeyValue, Put, WatchEvent, transaction_to_wire
 from peathall.store.client import StoreClient
 from peathall.store.deferred_writes import DeferredWrites
 from peathall.store.errors import (
@@ -343,6 +343,39 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("value_kb", [2.0, 16.0, 64.0, 1000.0])
+def test_a_transaction_with_its_conditions_is_within_the_protocols_limit(value_kb: float) -> None:
+    """Regression: with large values, or with many jobs in one record, a transaction was larger than
+    64 KiB."""
+
+    class MeasuringStore(FakeStore):
+        largest = 0
+
+        async def commit(self, conditions: dict[str, int], ops: list[Any]) -> int:
+            wire = transaction_to_wire(dict.fromkeys(conditions, 2**40), ops)
+            self.largest = max(self.largest, json_size(wire))
+            return await super().commit(conditions, ops)
+
+    async def run() -> int:
+        store: Any = MeasuringStore()
+        limits = StateSettings(100.0, 1000.0, value_kb, 1000)
+        writer = Writer(store, limits, leader_guard(), lambda: True, lambda: None)
+        shared = SharedRecordWriter(writer, 7, "live/jobs/", "jobs")
+        async with running(writer):
+            jobs = [
+                shared.add(
+                    {"id": f"j-{n:030d}", "text": "x" * 300},
+                    {f"{prefix}/j-{n:030d}": 0 for prefix in ("live/job", "past", "borrowed")},
+                )
+                for n in range(600)
+            ]
+            others = [writer.submit([Put(f"other/{n}", "x" * 200)]) for n in range(600)]
+            await asyncio.gather(*jobs, *others)
+        return int(store.largest)
+
+    assert asyncio.run(run()) <= 64 * 1024
+
+
 def test_keys_of_done_tasks_name_the_job_and_differ_between_block_sizes() -> None:
     """Controllers of two versions, or with two value size limits, write blocks of different sizes.
     Under a common key they would overwrite each other."""
