Cells: a borrower refuses a job that its state service cannot store

A borrower whose limits are lower than those of the home cell reserved capacity for a job whose record it could not store, and sent it to the state service with each offer; the answer was 400 every time.

Change: the record's size is a reason to refuse, before anything is reserved.

--- a/peathall/cells/borrower.py
+++ b/peathall/cells/borrower.py
@@ -12,7 +12,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 
@@ -35,7 +35,7 @@
 from peathall.jobs.admission import rejection_reason
 from peathall.jobs.background import BackgroundTasks
 from peathall.leadership.lease import HeldLease
-from peathall.protocol.codec import struct_to_builtins
+from peathall.protocol.codec import json_size, struct_to_builtins
 from peathall.protocol.jobs import JobSpec, spec_from_record, spec_to_record
 from peathall.protocol.state_service import Delete, KeyValue, Put
 from peathall.store.errors import ConflictError, StoreError
@@ -44,6 +44,11 @@
 log = logging.getLogger("peathall.cells")
 
 
+def _to_record(epoch: int, home: str, phase: BorrowPhase, spec: JobSpec) -> Any:
+    """The stored value for a borrowed job. No phase has a longer name than RESERVED."""
+    return struct_to_builtins(BorrowedRecord(epoch, home, phase, spec_to_record(spec)))
+
+
 class CapacityReserver(Protocol):
     """Finds and reserves capacity on machines; implemented by the placement component."""
 
@@ -122,8 +127,8 @@
 
     async def _store(self, borrowed: BorrowedJob, phase: BorrowPhase) -> bool:
         """Store the next phase, then enter it; heartbeats name a phase only once it is stored."""
-        record = BorrowedRecord(borrowed.epoch, borrowed.home, phase, spec_to_record(borrowed.spec))
-        return await self._commit(borrowed, Put(borrowed.key, struct_to_builtins(record)), phase)
+        record = _to_record(borrowed.epoch, borrowed.home, phase, borrowed.spec)
+        return await self._commit(borrowed, Put(borrowed.key, record), phase)
 
     async def _commit(self, borrowed: BorrowedJob, op: Put | Delete, phase: BorrowPhase) -> bool:
         conditions: dict[str, int] = {}
@@ -157,7 +162,7 @@
             if offer.epoch == known.epoch and known.phase is BorrowPhase.RESERVED:
                 return None  # the same offer, sent again
             return "an earlier handoff of it is not over here"
-        reason = self._rejection_reason(spec)
+        reason = self._rejection_reason(spec) or self._size_reason(offer, spec)
         if reason is not None:
             return reason
         self.reserving[spec.id] = spec
@@ -182,6 +187,14 @@
         taken = [*(borrowed.spec for borrowed in self.borrowed.values()), *self.reserving.values()]
         return quota_conflict(spec, taken, team)
 
+    def _size_reason(self, offer: HandoffOffer, spec: JobSpec) -> str | None:
+        """The reason if the record of the job would be too large for this cell's state service,
+        whose limits may be lower than those of the home cell."""
+        record = _to_record(offer.epoch, offer.cell, BorrowPhase.RESERVED, spec)
+        if json_size(record) > self.writer.value_limit:
+            return "its description is too large for the state service here"
+        return None
+
     async def _reserve(self, offer: HandoffOffer, spec: JobSpec) -> str | None:
         if not await self.capacity.reserve(spec, self.clock() + constants.CELL_RESERVATION_S):
             return "no room"
--- a/tests/sim/test_cells.py
+++ b/tests/sim/test_cells.py
@@ -20,7 +20,7 @@
 from peathall.config.modes import Mode
 from peathall.operator_config.settings import OperatorSettings
 from tests.sim import production
-from tests.sim.cells_world import LEASE_S, Cells, run_scenario
+from tests.sim.cells_world import LEASE_S, Cells, cell_settings, run_scenario
 from tests.sim.sites import controller_text
 
 STEPS = ["offered", "reserved", "granted", "adopted", "running", "ended"]
@@ -432,6 +432,25 @@
     run_scenario(805, scenario, next_limits=True)
 
 
+def test_a_borrower_with_smaller_limits_refuses_a_job_that_it_cannot_store() -> None:
+    """Regression: the borrower sent the record all the same, again with each offer, and every time
+    its state service refused it. The job runs at home, since nothing is reserved elsewhere."""
+
+    async def scenario(cells: Cells) -> None:
+        borrower = cells.worlds[BORROWER]
+        borrower.settings[:] = cell_settings(BORROWER, next_limits=True)
+        borrower.state.value_kb, borrower.state.txn_ops = 2.0, 4
+        await fill_home_cell(cells)
+        builds = ["big", *(f"big-of-another-cell-{n}" for n in range(100))]
+        large = cells.submit(HOME, 1, run_s=5.0, builds=builds)
+        await asyncio.sleep(30.0)
+        small = cells.submit(HOME, 2, run_s=5.0)
+        await asyncio.wait_for(asyncio.gather(large, small), 240.0)
+        assert cells.checker.handoffs == 1  # of the small one
+
+    run_scenario(806, scenario)
+
+
 def test_cells_are_retired_and_an_older_version_leads_again() -> None:
     """The handoff in progress ends, then the mark in the term record is deleted, and only then a
     controller without the section, or of an older version, may lead."""
