--- a/tests/unit/test_stored_format.py
+++ b/tests/unit/test_stored_format.py
@@ -15,10 +15,12 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
 import pytest
 
 from peathall import constants
 from peathall.autoscaling.actions import ProvisionRequest
+from peathall.autoscaling.machine_type_records import write_machine_types
 from peathall.cells.borrower import BorrowedJobs
 from peathall.cells.home import HomeHandoffs
 from peathall.cells.model import (
@@ -568,6 +570,25 @@
     assert_written(run_with_store(test), {"types": [MACHINE_TYPES]})
 
 
+def test_machine_types_too_many_for_a_value_are_written_in_parts() -> None:
+    zones = [f"zone-{number}" for number in range(60)]
+    types = [
+        msgspec.structs.replace(machine_type(), name=f"g-{number}", zones=zones)
+        for number in range(10)
+    ]
+    literal = MACHINE_TYPES["builds"][0] | {"wards": zones}
+    assert {put.key: put.value for put in write_machine_types(types, "00000007-000001", 5000)} == {
+        "types/00000007-000001/000000": {
+            "builds": [literal | {"label": f"g-{number}"} for number in range(6)],
+            "parts": 2,
+        },
+        "types/00000007-000001/000001": {
+            "builds": [literal | {"label": f"g-{number}"} for number in range(6, 10)],
+            "parts": 2,
+        },
+    }
+
+
 # --- duties ------------------------------------------------------------------------------------
 def test_the_mark_that_duties_are_enabled_is_written_and_read() -> None:
     async def test(store: RecordingStore) -> None:
