Measure each entry of a round once unless one has to be divided

The check of each entry's size had doubled the measuring of every round. tests/unit/test_rounds.py, test_store.py and tests/sim/test_record_sizes.py pass.

--- a/peathall/placement/round_entries.py
+++ b/peathall/placement/round_entries.py
@@ -47,11 +47,13 @@
     """
     parts: list[list[RoundEntry]] = [[]]
     size = EMPTY_RECORD_BYTES
+    room = limit - EMPTY_RECORD_BYTES
     for _, group in groupby(entries, key=lambda entry: entry.job):
-        job_entries = [
-            piece for entry in group for piece in divide_entry(entry, limit - EMPTY_RECORD_BYTES)
-        ]
+        job_entries = list(group)
         sizes = [_entry_bytes(entry) for entry in job_entries]
+        if max(sizes) > room:
+            job_entries = [piece for entry in job_entries for piece in divide_entry(entry, room)]
+            sizes = [_entry_bytes(entry) for entry in job_entries]
         whole = sum(sizes)
         if parts[-1] and size + whole > limit and EMPTY_RECORD_BYTES + whole <= limit:
             parts.append([])
