Count a replica that is being moved in its old zone until it has ended

A pending replica of a service with `together` started in another zone while the one that had to move was still saving on its machine.

Cause: a round takes a moving replica out of `running_zones` to find out where it may run next, and places the pending tasks of the job on those numbers. Jobs with `scatter` were planned on the same ones.

Change: moved replicas are put back before pending tasks are placed. While replicas that must share a zone move to another one, the pending tasks wait until none is left in the old zone. With `scatter`, the place reserved for a moving replica counts in its next zone as well.

Simulated tasks may take time to save (`saving_s`).

--- a/peathall/placement/job_views.py
+++ b/peathall/placement/job_views.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Collection
 
 from peathall import constants
@@ -141,6 +142,7 @@
             avoid=self._avoid(job),
             replica_machines=self._replica_machines(job),
             moving=moving,
+            changes_zone=self._changes_zone(job),
             reservations=self.reservations.ready(job) if job.spec.daemon else {},
         )
 
@@ -156,6 +158,7 @@
             avoid=self._avoid(job),
             replica_machines=self._replica_machines(job),
             moving=moving,
+            changes_zone=self._changes_zone(job),
         )
 
     def _borrowed_view(self, job: Job, startable: int) -> JobView:
@@ -175,13 +178,22 @@
         return frozenset(self.faults.machines_to_avoid(job))
 
     def _running_zones(self, job: Job) -> dict[str, int]:
-        """Zone -> tasks there; empty unless the job has a zone rule."""
-        zones: dict[str, int] = {}
-        if job.spec.one_zone or job.spec.spread:
-            for attempt in job.attempts.values():
-                zone = self.cluster.machines[attempt.machine].zone
-                zones[zone] = zones.get(zone, 0) + 1
-        return zones
+        """Zone -> tasks there; empty unless the job has a zone rule. A replica that is being moved
+        counts where it still is, and where it is to run next if the rule limits the number."""
+        if not (job.spec.one_zone or job.spec.spread):
+            return {}
+        machines = [attempt.machine for attempt in job.attempts.values()]
+        if job.spec.spread:
+            machines += self.reservations.awaited(job)
+        return dict(Counter(self.cluster.machines[name].zone for name in machines))
+
+    def _changes_zone(self, job: Job) -> bool:
+        """Whether replicas that must share a zone are being moved to another one."""
+        if not job.spec.one_zone:
+            return False
+        zones = {self.cluster.machines[a.machine].zone for a in job.attempts.values()}
+        targets = {self.cluster.machines[name].zone for name in self.reservations.awaited(job)}
+        return not targets <= zones
 
     @staticmethod
     def _replica_machines(job: Job) -> Collection[str]:
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -98,7 +98,7 @@
             return
         if job.moving:
             self._place_moves(job)
-        if job.pending:
+        if job.pending and not job.changes_zone:
             self._place_or_preempt_tasks(job)
         if job.spec.daemon:
             self.quotas.reserve(job.spec, job.pending)
@@ -212,11 +212,13 @@
 
     def _place_moves(self, job: JobView) -> None:
         """Find capacity elsewhere for replicas on draining machines. Each replica keeps running
-        until capacity for it is reserved."""
+        until capacity for it is reserved, and is in its old zone until it has ended: afterwards
+        `running_zones` counts it in both zones."""
         spec = job.spec
         machines = self.pool.candidates(job)
         machines.sort(key=lambda machine: machine.name in job.replica_machines)
         waiting = 0
+        moved_from: list[str] = []
         for replica in job.moving:
             job.running_zones[replica.zone] = job.running_zones.get(replica.zone, 1) - 1
             target = next(
@@ -232,6 +234,10 @@
             job.replica_machines = {*job.replica_machines, target.name}
             machines.sort(key=lambda machine: machine.name in job.replica_machines)
             self.plan.moves.append(Move(spec.id, replica.task, target.name))
+            moved_from.append(replica.zone)
+            job.changes_zone |= spec.one_zone and target.zone != replica.zone
+        for zone in moved_from:
+            job.running_zones[zone] += 1
         if waiting:
             self.preemption.preempt(job, waiting)
             self.plan.unplaced.append((job, waiting))
--- a/peathall/placement/reservations.py
+++ b/peathall/placement/reservations.py
@@ -70,6 +70,14 @@
             if reservation.spec.id == job.spec.id and reservation.task in job.pending
         )
 
+    def awaited(self, job: Job) -> list[str]:
+        """Machines with reservations for tasks of the job whose old attempts may still exist."""
+        return [
+            reservation.machine
+            for reservation in self._reservations
+            if reservation.spec.id == job.spec.id and reservation.task in job.attempts
+        ]
+
     def capacity(self) -> dict[str, list[float]]:
         """Machine -> CPUs, GPUs and GB of memory that are reserved there."""
         capacity: dict[str, list[float]] = {}
--- a/peathall/placement/views.py
+++ b/peathall/placement/views.py
@@ -205,6 +205,9 @@
     avoid: Container[str] = ()  # machines on which the job failed
     replica_machines: Collection[str] = ()  # machines that already run its replicas
     moving: Sequence[MovingReplica] = ()  # replicas on draining machines
+    # Replicas that must share a zone are being moved to another one: pending tasks start only once
+    # none is left in the old zone.
+    changes_zone: bool = False
     # Machine -> pending tasks for which capacity is reserved there.
     reservations: Mapping[str, int] = field(default_factory=dict)
 
--- a/tests/sim/users.py
+++ b/tests/sim/users.py
@@ -19,7 +19,7 @@
 from tests.sim.site_network import SiteNetwork
 from tests.sim.user_rules import FINAL_STATUSES, UserRules
 
-SIMULATION_KEYS = ("run_s", "mistaken")  # keys of a drawn job that are not submitted
+SIMULATION_KEYS = ("run_s", "mistaken", "saving_s")  # keys of a drawn job that are not submitted
 MAX_UNANSWERED_S = 75.0  # longest wait for a response while no fault has an effect
 
 
--- a/tests/sim/worker.py
+++ b/tests/sim/worker.py
@@ -209,10 +209,20 @@
             elif task is not None and task.attempt == attempt:
                 if command["writ"] == "stop" and task.state != "exited":
                     saves = task.job["tally_s"] > 0 and command["leave_s"] >= task.job["stow_s"]
-                    self.finish(task, "halted", checkpointed=saves and task.state == "running")
+                    self.stop_task(task, saves)
                 elif command["writ"] == "forget" and task.state == "exited":
                     del self.tasks[name]
 
+    def stop_task(self, task: Task, saves: bool) -> None:
+        """Stops the task, after `saving_s` if its job takes time to save."""
+        saving_s = task.job.get("saving_s", 0.0)
+        if not (saves and saving_s):
+            self.finish(task, "halted", checkpointed=saves and task.state == "running")
+        elif task.state == "running":
+            task.state = "flushing"
+            self.schedule(task, saving_s, lambda t: self.finish(t, "halted", checkpointed=True))
+            self.heartbeat_due.set()
+
     def start_task(self, name: str, attempt: int) -> None:
         """Starts to pull the image of a task, which must fit on the machine."""
         job = self.site.registry.jobs[decode_task_name(name)[0]]
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -490,6 +490,32 @@
     assert make_plan([job, other], [reserved], teams, {"t": [1.0, 0.0]}).assignments == []
 
 
+def test_pending_replicas_count_a_replica_that_is_being_moved_where_it_still_is() -> None:
+    """Regression, review/2: it was counted as gone in the round that moved it, so a pending replica
+    of a job that must share a zone started in another zone."""
+    moving = [MovingReplica(0, "a")]
+    together = spec(tasks=2, daemon=True, priority=0, one_zone=True)
+    in_b = machine("m-1", (8.0, 0.0, 64.0), zone="b")
+    job = JobView(together, 1, running_zones={"a": 1}, replica_machines={"m-9"}, moving=moving)
+    plan = make_plan([job], [in_b], TEAMS, {})
+    assert [move.machine for move in plan.moves] == ["m-1"]
+    assert plan.assignments == plan.unplaced == []
+    # Within its zone the pending one may start at once.
+    in_a = machine("m-0", (8.0, 0.0, 64.0), zone="a")
+    job = JobView(together, 1, running_zones={"a": 1}, replica_machines={"m-9"}, moving=moving)
+    plan = make_plan([job], [in_a], TEAMS, {})
+    assert [move.machine for move in plan.moves] == ["m-0"]
+    assert [start.machine for start in plan.assignments] == ["m-0"]
+    # At most two of four may be in one zone. One is moved out of `a`, and is there until it ends.
+    spread = spec(tasks=4, daemon=True, priority=0, spread=True)
+    job = JobView(spread, 2, running_zones={"a": 2}, replica_machines={"m-9"}, moving=moving)
+    in_a = machine("m-0", (8.0, 0.0, 64.0), zone="a")
+    in_b = machine("m-1", (8.0, 0.0, 64.0), images=["i"], zone="b")
+    plan = make_plan([job], [in_a, in_b], TEAMS, {})
+    assert [move.machine for move in plan.moves] == ["m-1"]
+    assert [(start.machine, start.count) for start in plan.assignments] == [("m-1", 1)]
+
+
 def test_replicas_prefer_machines_with_few_replicas_of_other_jobs() -> None:
     """Regression: replicas of a dozen jobs with the same image ran on one machine, and its loss
     stopped all of them."""
