A transaction refused for its rate does not lower the limit of values

A transaction with more changes than a rate that fell unannounced allows is given up with the same error as one that is too large, so took the size of its values for the reason, and the leader then wrote smaller ones: more changes under a rate that has room for fewer. It has an error of its own now.

--- a/peathall/store/committer.py
+++ b/peathall/store/committer.py
@@ -24,6 +24,7 @@
     OutcomeUnknownError,
     RateLimitError,
     StoreError,
+    UnattainableRateError,
 )
 from peathall.store.phase import WriterPhase, WriterState
 from peathall.store.transaction import GuardKey, Transaction
@@ -101,7 +102,7 @@
         except RateLimitError as exc:
             transaction.rate_refusals += 1
             if transaction.exceeds_rate:
-                raise InvalidTransactionError(
+                raise UnattainableRateError(
                     f"more changes than its rate allows at all: {exc}"
                 ) from None
             raise
--- a/peathall/store/errors.py
+++ b/peathall/store/errors.py
@@ -23,6 +23,10 @@
     """The service can never apply this transaction, for example because it is too large."""
 
 
+class UnattainableRateError(InvalidTransactionError):
+    """The transaction has more operations than the write rate ever allows at once."""
+
+
 class RateLimitError(StoreError):
     """A rate limit was exceeded. The request was not applied; it may succeed later, or with fewer
     operations."""
--- a/peathall/store/writer.py
+++ b/peathall/store/writer.py
@@ -26,7 +26,7 @@
     TransactionCommitter,
 )
 from peathall.store.deferred_writes import DeferredWrites, MutationFactory
-from peathall.store.errors import ConflictError, LeadershipLostError
+from peathall.store.errors import ConflictError, LeadershipLostError, UnattainableRateError
 from peathall.store.mutation import Batch, Mutation, fail_mutations, partition_by_keys
 from peathall.store.phase import WriterPhase, WriterState
 from peathall.store.transaction import GuardKey, Transaction
@@ -213,7 +213,8 @@
         """Commit each mutation of a rejected batch on its own, so that only those fail that cause
         the rejection. Repeating the batch would block all later ones."""
         if len(batch) == 1:
-            self.note_rejected(batch[0])
+            if not isinstance(error, UnattainableRateError):
+                self.note_rejected(batch[0])
             fail_mutations(batch, error)
             return
         for mutation in batch:
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -26,6 +26,7 @@
     LeadershipLostError,
     OutcomeUnknownError,
     RateLimitError,
+    UnattainableRateError,
 )
 from peathall.store.mutation import Batch, Mutation
 from peathall.store.shared_records import SharedRecordWriter
@@ -376,6 +377,34 @@
     assert asyncio.run(run()) <= 64 * 1024
 
 
+def test_only_a_value_that_may_be_too_large_lowers_the_limit_of_values() -> None:
+    async def run() -> None:
+        for size, operations, error, lowered in (
+            (3000, 1, InvalidTransactionError("commit: 400"), True),
+            (3000, 4, UnattainableRateError("commit: 429"), False),
+            (300, 1, InvalidTransactionError("commit: 400"), False),
+        ):
+
+            class RejectingStore(FakeStore):
+                async def commit(
+                    self,
+                    conditions: dict[str, int],
+                    ops: list[Any],
+                    error: InvalidTransactionError = error,
+                ) -> int:
+                    raise error
+
+            writer = new_writer(RejectingStore())
+            before = writer.value_limit
+            async with running(writer):
+                puts = [Put(f"k-{n}", "x" * (size - 2)) for n in range(operations)]
+                with pytest.raises(type(error)):
+                    await writer.submit([*puts])
+            assert writer.value_limit == (size // 2 if lowered else before)
+
+    asyncio.run(run())
+
+
 def test_keys_of_done_tasks_name_the_job_and_differ_between_block_sizes() -> None:
     """Controllers of two versions, or with two value size limits, write blocks of different sizes.
     Under a common key they would overwrite each other."""
