--- a/review/tools2/harness.py
+++ b/review/tools2/harness.py
@@ -78,7 +78,10 @@
             writer.transport.abort()
             return
         self.writers |= {writer, back}
-        await asyncio.gather(self._copy(reader, back), self._copy(there, writer))
+        try:
+            await asyncio.gather(self._copy(reader, back), self._copy(there, writer))
+        except asyncio.CancelledError:
+            pass  # the case has ended; the loop would print a traceback for each connection
         self.writers -= {writer, back}
 
     @staticmethod
