--- a/review/tools2/cloud_workers.py
+++ b/review/tools2/cloud_workers.py
@@ -194,9 +194,17 @@
         if task.name in self.cloud.results:
             run_s = 0.0
         self.cloud.begin(self, task, run_s)
+        if not task.job.get("quiet") and self.is_sick():
+            task.timer = self.loop.call_later(0.5, self.exit, task, "error")
+            self.changed.set()
+            return
         task.timer = self.loop.call_later(run_s, self.finish, task)
         self.changed.set()
 
+    def is_sick(self) -> bool:
+        """Whether the machine fails every task that it starts: a case has put a file there."""
+        return (Path(self.settings["jobs"]) / f"sick-{self.ward}").exists()
+
     def finish(self, task: Task) -> None:
         """The task has completed; its result is kept."""
         self.cloud.results.add(task.name)
@@ -312,6 +320,13 @@
         task.add_done_callback(self.running.discard)
         return name
 
+    def room(self, ward: str) -> int:
+        """How many more machines the cloud has, in all or in this zone."""
+        capacity = self.settings["capacity"]
+        if isinstance(capacity, dict):
+            return int(capacity[ward]) - sum(m.ward == ward for m in self.machines.values())
+        return int(capacity) - len(self.machines)
+
     async def handle(self, request: Request) -> Response:
         """Answers the controllers."""
         kinds = self.settings["builds"]
@@ -337,7 +352,7 @@
                         machine.server.close()
             return codec.cbor_response(200, {})
         if raw["hire"] not in self.hires:
-            room = self.settings["capacity"] - len(self.machines)
+            room = self.room(raw["ward"])
             kind = next((k for k in kinds if k["label"] == raw["build"]), None)
             count = min(raw["how_many"], room)
             if count <= 0 or kind is None or raw["standby"]:
