--- a/review/tools2/harness.py
+++ b/review/tools2/harness.py
@@ -160,10 +160,8 @@
         self.api_for_workers = list(self.api)
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.log_at = 0
-        self.environment = os.environ | {
-            "PYTHONPATH": f"{ROOT}:{ROOT}/target/deps",
-            "LOG_LEVEL": os.environ.get("LOG_LEVEL", "info"),
-        }
+        self.environment = os.environ | {"LOG_LEVEL": os.environ.get("LOG_LEVEL", "info")}
+        self.environment.pop("PYTHONPATH", None)
         with (ROOT / "deploy" / "service.toml").open("rb") as file:
             self.command = shlex.split(tomllib.load(file)["run"])
 
@@ -177,8 +175,11 @@
     def spawn(self, name: str, *arguments: str) -> None:
         """Starts a process; what it prints goes to a file in the temporary folder."""
         with (self.folder / f"{name}.err").open("ab") as err:
+            environment = dict(self.environment)
+            if arguments[0] == sys.executable:  # a stand-in
+                environment["PYTHONPATH"] = f"{ROOT}:{ROOT}/target/deps"
             self.processes[name] = subprocess.Popen(
-                list(arguments), cwd=ROOT, env=self.environment, stdout=err, stderr=err
+                list(arguments), cwd=ROOT, env=environment, stdout=err, stderr=err
             )
 
     def start(self) -> None:
@@ -240,7 +241,7 @@
     def start_controller(self, index: int) -> None:
         """Starts a controller with the command of the deploy file."""
         path = str(self.folder / f"{index}.toml")
-        self.spawn(self.members[index], sys.executable, *self.command[1:], path)
+        self.spawn(self.members[index], *self.command, path)
         self.note(f"{self.members[index]} started")
 
     def signal(self, index: int, number: int) -> None:
