--- a/review/tools2/cloud_workers.py
+++ b/review/tools2/cloud_workers.py
@@ -70,8 +70,9 @@
     async def run(self) -> None:
         """Reports to the controllers until the machine is deleted."""
         self.server = HttpServer(self.serve, 50)
-        await self.server.start(HOST, 0)
-        self.endpoint = f"{HOST}:{self.server.port}"
+        port = self.settings["ports"].pop()
+        await self.server.start(HOST, port)
+        self.endpoint = f"{HOST}:{port}"
         addresses = self.settings["controllers"]
         clients = [HttpClient(addr, max_idle=1) for addr in addresses]
         index = self.cloud.rng.randrange(len(clients))
--- a/review/tools2/harness.py
+++ b/review/tools2/harness.py
@@ -24,6 +24,7 @@
 TOOLS = ROOT / "review" / "tools2"
 HOST = "127.0.0.1"
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+MACHINE_PORTS = 80  # for all machines of a run, those that are replaced included
 
 JOB = {
     "docket": "comps-sweep", "desk": "assessment-unit", "shape": "sweep", "precedence": "standard",
@@ -52,9 +53,9 @@
 class Proxy:
     """A TCP proxy to one address, which can refuse connections for a while."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, port: int) -> None:
         self.target = target
-        self.port = free_ports(1)[0]
+        self.port = port
         self.addr = f"{HOST}:{self.port}"
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
@@ -148,10 +149,12 @@
         self.folder = Path(tempfile.mkdtemp(prefix="peathall-review-"))
         (self.folder / "jobs").mkdir()
         self.size = site.get("size", 3)
-        ports = free_ports(2 + 2 * self.size)
-        self.state_port, self.cloud_port = ports[0], ports[1]
-        self.api = [f"{HOST}:{port}" for port in ports[2 : 2 + self.size]]
-        self.back = [f"{HOST}:{port}" for port in ports[2 + self.size :]]
+        # All ports are chosen at once: none is given out twice.
+        self.ports = free_ports(2 + 3 * self.size + MACHINE_PORTS)
+        self.state_port, self.cloud_port = self.ports.pop(), self.ports.pop()
+        self.api = [f"{HOST}:{self.ports.pop()}" for _ in range(self.size)]
+        self.back = [f"{HOST}:{self.ports.pop()}" for _ in range(self.size)]
+        self.proxy_ports = [self.ports.pop() for _ in range(self.size)]
         self.members = [f"hall-{i}" for i in range(self.size)]
         # The addresses that others are given; a case may put proxies in between.
         self.state_for = [f"{HOST}:{self.state_port}"] * self.size
@@ -204,7 +207,7 @@
             "report_s": self.site["workers"]["report_s"],
             "lease_s": self.site["workers"]["lease_s"],
             "builds": self.site["builds"], "machines": self.site["machines"],
-            "capacity": self.site["capacity"],
+            "capacity": self.site["capacity"], "ports": self.ports,
         }  # fmt: skip
         path = self.folder / "platform.json"
         path.write_text(json.dumps(settings))
