--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -117,6 +117,9 @@
 FAILING_JOB_BYTES = 48  # of one entry; a job id has up to 32
 SUCCESS_RUNTIME_S = 5.0  # running longer counts as success: a faulty task fails early
 AVOID_MACHINES = 3  # machines with the latest failures of a job, which the job avoids
+# After a failure, for which the job avoids the machine: the machine may be well again, and no other
+# may ever have room.
+AVOID_S = 30.0
 ERROR_BACKOFF_S = 2.0  # doubled with each consecutive failed start of a failing job
 ERROR_BACKOFF_MAX_S = 60.0  # a failing job is retried until its user cancels it
 CHECKPOINT_GRACE_S = 3.0  # added to the time that a job states for a checkpoint
--- a/peathall/placement/job_views.py
+++ b/peathall/placement/job_views.py
@@ -10,6 +10,7 @@
 from peathall.cluster.machine import MachinePhase
 from peathall.cluster.state import ClusterState
 from peathall.config.platform import Objective
+from peathall.placement.bin_packing import allowed, fitting_tasks
 from peathall.placement.context import RoundContext
 from peathall.placement.ordering import gang_starving_bonus_s, latest_start
 from peathall.placement.reservations import Reservations
@@ -175,7 +176,23 @@
         )
 
     def _avoid(self, job: Job) -> frozenset[str]:
-        return frozenset(self.faults.machines_to_avoid(job))
+        """The machines on which the job failed lately. If no other machine could ever take it, they
+        are avoided only until it may try again."""
+        now = self.context.now
+        names = frozenset(self.faults.machines_to_avoid(job, now))
+        if not names or self._fits_elsewhere(job.spec, names):
+            return names
+        return frozenset(name for name in names if not self.faults.may_retry(job, name, now))
+
+    def _fits_elsewhere(self, spec: JobSpec, names: Collection[str]) -> bool:
+        """Whether a task fits on another machine than these, once it is empty."""
+        return any(
+            machine.is_schedulable
+            and machine.name not in names
+            and allowed(machine, spec)
+            and fitting_tasks((machine.cpus, machine.gpus, machine.ram), spec) > 0
+            for machine in self.cluster.machines.values()
+        )
 
     def _running_zones(self, job: Job) -> dict[str, int]:
         """Zone -> tasks there; empty unless the job has a zone rule. A replica that is being moved
--- a/peathall/workers/faults.py
+++ b/peathall/workers/faults.py
@@ -132,7 +132,21 @@
                     break
         return unhealthy
 
-    def machines_to_avoid(self, job: Job) -> list[str]:
-        """The few machines with the job's latest failures on which no task has succeeded since."""
-        names = [machine.name for machine in self._machines_without_success(job)]
+    def machines_to_avoid(self, job: Job, now: float) -> list[str]:
+        """The few machines with the job's latest failures, for a limited time after the failure.
+
+        A success of any task on the machine ends the avoidance sooner.
+        """
+        names = [
+            machine.name
+            for machine in self._machines_without_success(job)
+            if now - job.failed_on[machine.name] < constants.AVOID_S
+        ]
         return names[-constants.AVOID_MACHINES :]
+
+    def may_retry(self, job: Job, machine: str, now: float) -> bool:
+        """Whether the job may start again on a machine that it avoids, if it has no other.
+
+        The pause after each failure grows with the number of starts that failed in a row.
+        """
+        return now - job.failed_on[machine] >= min(constants.AVOID_S, self._backoff_s(job))
--- a/tests/unit/test_faults.py
+++ b/tests/unit/test_faults.py
@@ -94,7 +94,7 @@
     job = faulty.job(1, 10)
     faulty.start(job, ["m-0", "m-1", "m-2"], 0.0)
     assert faulty.drained == []  # one failure shows neither an unhealthy machine nor a failing job
-    assert faulty.faults.machines_to_avoid(job) == ["m-0"]
+    assert faulty.faults.machines_to_avoid(job, 0.0) == ["m-0"]
     faulty.drain(faulty.faults.note_runtimes(constants.SUCCESS_RUNTIME_S - 0.1))
     assert faulty.drained == []
     faulty.drain(faulty.faults.note_runtimes(constants.SUCCESS_RUNTIME_S + 0.1))
@@ -104,6 +104,18 @@
     assert faulty.drained == ["m-0", "m-3"]  # drained at once: the job is known to be healthy
 
 
+def test_a_job_avoids_a_machine_for_a_limited_time_after_its_latest_failure_there() -> None:
+    """Regression: the job waited for a success on the machine, which may never come if all other
+    tasks there are replicas of services."""
+    faulty = FaultyCluster(2)
+    faulty.unhealthy.add("m-0")
+    job = faulty.job(1, 10)
+    for failed_at in (0.0, 50.0):
+        faulty.start(job, ["m-0"], failed_at)
+        assert faulty.faults.machines_to_avoid(job, failed_at + constants.AVOID_S - 0.1) == ["m-0"]
+        assert faulty.faults.machines_to_avoid(job, failed_at + constants.AVOID_S) == []
+
+
 def test_a_machine_that_fails_several_jobs_is_unhealthy_before_any_has_run_elsewhere() -> None:
     faulty = FaultyCluster(5)
     faulty.unhealthy.add("m-0")
@@ -119,7 +131,7 @@
     job = faulty.job(1, 4)
     faulty.start(job, ["m-0", "m-1"], 0.0)
     assert job.health is JobHealth.FAILING
-    assert faulty.faults.machines_to_avoid(job) == ["m-0", "m-1"]
+    assert faulty.faults.machines_to_avoid(job, 0.0) == ["m-0", "m-1"]
     faulty.start(job, ["m-2"], 2.0)
     faulty.drain(faulty.faults.note_runtimes(2.1 + constants.SUCCESS_RUNTIME_S))
     assert job.health is JobHealth.HEALTHY
@@ -177,7 +189,7 @@
                     name
                     for name in faulty.names
                     if name not in faulty.drained
-                    and name not in faulty.faults.machines_to_avoid(job)
+                    and name not in faulty.faults.machines_to_avoid(job, now)
                 ]
                 if not (failing and job.attempts):
                     faulty.start(job, rng.sample(usable, count), now)
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -96,6 +96,43 @@
     asyncio.run(run())
 
 
+def test_a_job_soon_tries_a_machine_again_on_which_it_failed_if_no_other_could_take_it() -> None:
+    """Regression: it waited for a success on that machine, however long. A machine that is too
+    small is no alternative; one that is full is, but only for a limited time."""
+
+    async def run() -> None:
+        now = asyncio.get_running_loop().time()
+        workers = new_workers(now)
+        cluster = workers.cluster
+        cluster.types = {
+            name: MachineType(name, cpus, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])
+            for name, cpus in (("g", 4.0), ("tiny", 1.0))
+        }
+        placement = new_placement(workers, SimpleNamespace(versions={}))
+        failed = add_schedulable_machine(cluster, "m-1", "a", now)
+        tiny = cluster.machine("m-2", "tiny", "a", False, MachinePhase.UP, now)
+        tiny.confirmed = True
+        job = cluster.jobs["j-1"] = Job(spec(cpus=2.0), now)
+        attempt = cluster.allocate(job, 0, 7, failed, "round/1")
+        cluster.release(attempt, now)
+        workers.faults.note_failure(attempt, 0.0, now)
+
+        async def chosen(after_s: float) -> list[str]:
+            for machine in cluster.machines.values():
+                machine.last_heard = now + after_s
+            return [x.machine for x in (await placement.decide(now + after_s)).assignments]
+
+        assert await chosen(constants.ERROR_BACKOFF_S - 0.1) == []
+        assert await chosen(constants.ERROR_BACKOFF_S) == ["m-1"]
+        full = add_schedulable_machine(cluster, "m-3", "a", now)
+        service = cluster.jobs["j-2"] = Job(spec(id="j-2", daemon=True, cpus=4.0, priority=0), now)
+        cluster.allocate(service, 0, 8, full, "round/2").enter(AttemptPhase.RUNNING, now)
+        assert await chosen(constants.AVOID_S - 0.1) == []
+        assert await chosen(constants.AVOID_S) == ["m-1"]
+
+    asyncio.run(run())
+
+
 def test_among_starving_jobs_a_large_gang_goes_before_an_older_small_one() -> None:
     """A large gang needs machines that become free one by one; a small one finds capacity soon."""
 
