An unhealthy machine that cannot be emptied takes work again after 60 s

What callers saw: jobs of a zone whose only machine had failed three of them waited for ever, although the machine was well again and had room.

Cause: draining ended only with the deletion of the machine, which waits until it is empty. A replica that has no other place, since the cloud has no more machines there, never leaves it.

Change: Quarantine ends after QUARANTINE_S for a machine that still has tasks. The failures counted against it stay, so that the next one drains it again.

--- a/peathall/cluster/machine.py
+++ b/peathall/cluster/machine.py
@@ -113,7 +113,8 @@
     def enter(self, phase: MachinePhase) -> bool:
         """Change the phase; False if it stays the same.
 
-        GONE is final, DELETING changes only to GONE, and DRAINING never changes back to UP.
+        GONE is final, DELETING changes only to GONE, and DRAINING changes back to UP only with
+        `end_draining`.
         """
         if self.phase is MachinePhase.GONE or phase is self.phase:
             return False
@@ -124,6 +125,14 @@
         self.phase = phase
         return True
 
+    def end_draining(self) -> bool:
+        """Let a draining machine take work again, unless the cloud reclaims it; False if not."""
+        if self.phase is not MachinePhase.DRAINING or self.reclaimed_at is not None:
+            return False
+        self.phase = MachinePhase.UP
+        self.drain_reason = ""
+        return True
+
     @property
     def is_schedulable(self) -> bool:
         """Whether tasks may be placed on it: its worker is up and receives this leader's responses.
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -109,6 +109,8 @@
 CERTAIN_LIVE_SHARE = 0.8
 HEARTBEAT_HOLD_S = 1.5  # longest wait of a heartbeat for a leader in recovery; the worker waits 4 s
 UNHEALTHY_FAILED_JOBS = 3  # different jobs that fail in a row on a machine: it is quarantined
+# An unhealthy machine takes no new work for so long, if it has tasks that do not end sooner.
+QUARANTINE_S = 60.0
 # Machines on which a job that never succeeded fails: it counts as failing, since the fault is
 # probably in the job itself.
 FAILING_JOB_MACHINES = 2
--- a/peathall/workers/exit_handler.py
+++ b/peathall/workers/exit_handler.py
@@ -86,7 +86,7 @@
 
     def _note_done(self, job: Job, task: int, machine: Machine, now: float) -> None:
         job.has_started = True
-        self.quarantine.drain_unhealthy(self.faults.note_success(job, machine, now))
+        self.quarantine.drain_unhealthy(self.faults.note_success(job, machine, now), now)
         if job.spec.gang:
             # The tasks of a gang complete together: when one task is done, all are.
             if len(job.done) < job.spec.tasks:
@@ -110,7 +110,7 @@
                 reason.value if reason else "?",
             )
         if reason is ExitReason.ERROR or (reason is ExitReason.DONE and job.spec.daemon):
-            self.quarantine.drain_unhealthy(self.faults.note_failure(attempt, runtime_s, now))
+            self.quarantine.drain_unhealthy(self.faults.note_failure(attempt, runtime_s, now), now)
         elif reason in STATE_MISMATCH_REASONS:
             job.backoff_until = max(job.backoff_until, now + constants.ERROR_BACKOFF_S)
         if job.spec.gang and reason is not ExitReason.DONE:
--- a/peathall/workers/workers.py
+++ b/peathall/workers/workers.py
@@ -111,8 +111,8 @@
         self.control.stop(attempt, grace_s, now)
 
     def quarantine(self, machine: Machine, reason: str) -> None:
-        """Drain the machine: it takes no new work, and is deleted once it is empty."""
-        self._quarantine.drain(machine, reason)
+        """Drain the machine: it takes no new work for now, and is deleted once it is empty."""
+        self._quarantine.drain(machine, reason, self.loop.time())
 
     def reported_task_count(self, machine: Machine) -> int:
         """Number of tasks in the machine's next heartbeat: attempts, and exits until forgotten."""
@@ -137,7 +137,8 @@
         self.raise_fencing_token()
         self.health.note_tick(now)
         self.probes.tick(now)
-        self._quarantine.drain_unhealthy(self.faults.note_runtimes(now))
+        self._quarantine.drain_unhealthy(self.faults.note_runtimes(now), now)
+        self._quarantine.tick(now)
         self.leases.check(now, self.failover_at)
 
     def machine_gone(self, machine: Machine, now: float, reason: str) -> None:
--- a/tests/sim/test_failed_machines.py
+++ b/tests/sim/test_failed_machines.py
@@ -52,6 +52,18 @@
         await asyncio.sleep(1.0)
 
 
+@pytest.mark.parametrize("seed", [600, 601])
+def test_jobs_get_a_machine_again_that_was_drained_but_could_not_be_emptied(seed: int) -> None:
+    """The machine fails three jobs, which drains it. The replica there has no other place, so the
+    machine is never empty and never replaced."""
+    logging.getLogger("peathall").setLevel(logging.CRITICAL)
+    with virtual_loop(seed) as loop:
+        world = World(loop, seed, [controller_settings(i) for i in range(3)])
+        loop.run_until_complete(play(world, [job_in_zone(number) for number in (2, 3, 4)]))
+    assert world.broken == []
+    assert {"j-000002/0", "j-000003/0", "j-000004/0"} <= world.results
+
+
 @pytest.mark.parametrize("seed", [600, 601])
 def test_a_job_gets_the_only_machine_again_on_which_it_failed_once(seed: int) -> None:
     """The case of review/6: no other job completes a task on the machine, so nothing but time can
