A failing job that starves goes first and has machines provisioned

What callers saw (by reading, and in the unit test): a job that failed on two unhealthy machines counts as failing. If these were deleted and no other job needed such a machine, it waited for ever, since nothing is provisioned for failing jobs.

Cause: the view of a failing job never counted as starving, so only other jobs' demand could end its wait.

Change: its wait counts from the end of the pause after its latest failure. After STARVING_S it is treated as any starving job, still with one task at a time. Each failure begins the wait anew.

Evidence: the new test fails without the change (nothing unplaced is reported for the job).

--- a/peathall/placement/job_views.py
+++ b/peathall/placement/job_views.py
@@ -22,7 +22,15 @@
 def is_starving(job: Job, now: float) -> bool:
     """Whether the job has been without attempts for so long, at monotonic time `now`, that it is
     placed before all others."""
-    return now - job.idle_since > constants.STARVING_S - gang_starving_bonus_s(job.spec)
+    return now - _waiting_since(job) > constants.STARVING_S - gang_starving_bonus_s(job.spec)
+
+
+def _waiting_since(job: Job) -> float:
+    """Monotonic time since which the job has waited for a start. Each failed start of a failing job
+    begins its wait anew, after the pause that follows."""
+    if job.health is JobHealth.FAILING:
+        return max(job.idle_since, job.backoff_until)
+    return job.idle_since
 
 
 def startable_tasks(job: Job, now: float) -> int:
@@ -123,12 +131,12 @@
         return moving
 
     def _view(self, job: Job, startable: int, moving: list[MovingReplica]) -> JobView:
-        if job.health is JobHealth.FAILING:
+        starving = not job.attempts and is_starving(job, self.context.now)
+        if job.health is JobHealth.FAILING and not (starving and not job.borrowed):
             return self._canary_view(job, startable, moving)
         if job.borrowed:
             return self._borrowed_view(job, startable)
         latest = latest_start(job.spec, self.objectives, self.context.wall, 0.0)
-        starving = not job.attempts and is_starving(job, self.context.now)
         late = latest - self.context.wall < constants.URGENT_SLACK_S
         return JobView(
             job.spec,
@@ -151,7 +159,8 @@
         return JobView(
             job.spec,
             startable,
-            # The canary of a failing job is never urgent: it uses capacity that others leave.
+            # The canary of a failing job is not urgent until it starves: it uses capacity that
+            # others leave.
             latest_start=self.context.wall + constants.CANARY_DELAY_S,
             running_zones=self._running_zones(job),
             urgent=False,
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from peathall import constants
-from peathall.cluster.job import AttemptPhase, Job
+from peathall.cluster.job import AttemptPhase, Job, JobHealth
 from peathall.cluster.machine import Machine, MachinePhase
 from peathall.cluster.state import ClusterState
 from peathall.placement.job_views import is_starving
@@ -133,6 +133,43 @@
     asyncio.run(run())
 
 
+def test_a_failing_job_that_starves_goes_first_and_has_machines_provisioned() -> None:
+    """Regression: a job that had failed on two unhealthy machines, which were then deleted, waited
+    until other jobs happened to need a machine that it could use."""
+
+    async def run() -> None:
+        now = asyncio.get_running_loop().time()
+        workers = new_workers(now)
+        cluster = workers.cluster
+        cluster.types = {"g": MachineType("g", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])}
+        placement = new_placement(workers, SimpleNamespace(versions={}))
+        job = cluster.jobs["j-1"] = Job(spec(tasks=5, submitted=9.0), now)
+        for number, name in enumerate(("m-1", "m-2"), 1):
+            machine = add_schedulable_machine(cluster, name, "a", now)
+            attempt = cluster.allocate(job, 0, number, machine, f"round/{number}")
+            cluster.release(attempt, now)
+            workers.faults.note_failure(attempt, 0.0, now)
+            cluster.remove_machine(machine, now, "it is unhealthy")
+        assert job.health is JobHealth.FAILING
+        starves_at = job.backoff_until + constants.STARVING_S
+        assert (await placement.decide(starves_at)).unplaced == []
+        ((view, count),) = (await placement.decide(starves_at + 0.1)).unplaced
+        assert (view.spec.id, count) == ("j-1", 1)  # one task at a time, as before
+        cluster.jobs["j-2"] = Job(spec(id="j-2", submitted=0.0), starves_at)
+        machine = add_schedulable_machine(cluster, "m-3", "a", starves_at)
+        machine.free_cpus = 1.0  # one of them fits
+        plan = await placement.decide(starves_at + 0.1)
+        assert [assignment.job for assignment in plan.assignments] == ["j-1"]
+        # The next failure begins the wait anew.
+        attempt = cluster.allocate(job, 0, 3, machine, "round/3")
+        cluster.release(attempt, starves_at)
+        workers.faults.note_failure(attempt, 0.0, starves_at)
+        plan = await placement.decide(starves_at + constants.STARVING_S)
+        assert "j-1" not in [view.spec.id for view, _ in plan.unplaced]
+
+    asyncio.run(run())
+
+
 def test_among_starving_jobs_a_large_gang_goes_before_an_older_small_one() -> None:
     """A large gang needs machines that become free one by one; a small one finds capacity soon."""
 
