A team's limit is kept for missing replicas for a limited time

What callers saw (by reading, and in the unit test): while a replica of a service found no machine in its zone, the team's other jobs waited beside machines with room, for ever.

Cause: part of the limit was reserved for missing replicas until they started.

Change: it is reserved for REPLICA_QUOTA_HOLD_S after the first of them was lost. Afterwards the replica still goes first, and preempts work of its team with lower priority at the limit once a machine has room for it.

Evidence: the new test fails without the limit (no job started at 60 s) and passes with it.

--- a/peathall/cluster/job.py
+++ b/peathall/cluster/job.py
@@ -108,6 +108,7 @@
         "longest_failed_run_s",
         "on_hold",
         "pending",
+        "pending_since",
         "phase",
         "record_key",
         "running_remotely",
@@ -134,6 +135,7 @@
         self.done_keys: set[str] = set()  # keys of the records that hold its done tasks
         self.stored_done = Ranges()  # tasks stored as done in the state service
         self.pending = Ranges([(0, spec.tasks)])  # tasks that are not done and have no attempt
+        self.pending_since = now  # monotonic time since which it has had pending tasks
         self.attempts: dict[int, Attempt] = {}  # task -> its attempt
         self.health = JobHealth.UNKNOWN
         # Machine -> monotonic time of the latest failure of the job there, in order of time.
@@ -191,7 +193,10 @@
         self.done.add(0, self.spec.tasks)
         self.pending = Ranges()
 
-    def requeue(self, task: int) -> None:
+    def requeue(self, task: int, now: float) -> None:
         """Make the task pending again after its attempt has ended, unless it is done."""
-        if task not in self.done:
-            self.pending.add(task)
+        if task in self.done:
+            return
+        if not self.pending:
+            self.pending_since = now
+        self.pending.add(task)
--- a/peathall/cluster/state.py
+++ b/peathall/cluster/state.py
@@ -137,7 +137,7 @@
         job = attempt.job
         self.machines[attempt.machine].free(attempt, now)
         del job.attempts[attempt.task]
-        job.requeue(attempt.task)
+        job.requeue(attempt.task, now)
         if job.has_started and not job.attempts:
             # An attempt that never ran does not reset the waiting time of its job.
             job.idle_since = now
--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -167,6 +167,9 @@
 # Number of replicas on one machine from which other machines are preferred, so that the loss of a
 # machine costs few replicas. A lower number makes more replicas fetch their image and start late.
 PREFERRED_REPLICAS_PER_MACHINE = 8
+# Part of a team's limit is kept for missing replicas for so long: the capacity that they lack may
+# never come, while other jobs of the team wait.
+REPLICA_QUOTA_HOLD_S = 60.0
 JOB_SIZE_WEIGHT = 3.0  # times the seconds a job would fill the cluster: added to its latest start
 CANARY_DELAY_S = 1e6  # sorts canaries of failing jobs after other jobs of their priority
 # Time without any attempt after which a job goes before all others, so that the largest jobs start
--- a/peathall/placement/job_views.py
+++ b/peathall/placement/job_views.py
@@ -109,8 +109,12 @@
             and job.pending
             and (job.has_started or job.attempts)
             and job.health is not JobHealth.FAILING
+            and self._keeps_quota(job)
         ]
 
+    def _keeps_quota(self, job: Job) -> bool:
+        return self.context.now - job.pending_since < constants.REPLICA_QUOTA_HOLD_S
+
     def _zone_unknown(self, job: Job) -> bool:
         """Whether the job has a zone rule and a task on a machine whose zone is unknown. Such a
         machine is known from stored records only: it has sent no heartbeat yet and the cloud has
@@ -152,6 +156,7 @@
             replica_machines=self._replica_machines(job),
             moving=moving,
             changes_zone=self._changes_zone(job),
+            keeps_quota=self._keeps_quota(job),
             reservations=self.reservations.ready(job) if job.spec.daemon else {},
         )
 
@@ -169,6 +174,7 @@
             replica_machines=self._replica_machines(job),
             moving=moving,
             changes_zone=self._changes_zone(job),
+            keeps_quota=False,
         )
 
     def _borrowed_view(self, job: Job, startable: int) -> JobView:
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -100,7 +100,7 @@
             self._place_moves(job)
         if job.pending and not job.changes_zone:
             self._place_or_preempt_tasks(job)
-        if job.spec.daemon:
+        if job.spec.daemon and job.keeps_quota:
             self.quotas.reserve(job.spec, job.pending)
 
     def _place_or_preempt_gang(self, job: JobView) -> None:
--- a/peathall/placement/views.py
+++ b/peathall/placement/views.py
@@ -208,6 +208,7 @@
     # Replicas that must share a zone are being moved to another one: pending tasks start only once
     # none is left in the old zone.
     changes_zone: bool = False
+    keeps_quota: bool = True  # part of the team's limit is kept for missing replicas
     # Machine -> pending tasks for which capacity is reserved there.
     reservations: Mapping[str, int] = field(default_factory=dict)
 
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -10,6 +10,7 @@
 from peathall.cluster.job import AttemptPhase, Job, JobHealth
 from peathall.cluster.machine import Machine, MachinePhase
 from peathall.cluster.state import ClusterState
+from peathall.config.platform import Team
 from peathall.placement.job_views import is_starving
 from peathall.placement.ordering import gang_starving_bonus_s, job_sort_key
 from peathall.placement.plan import Assignment, Plan
@@ -170,6 +171,37 @@
     asyncio.run(run())
 
 
+def test_the_team_s_limit_is_kept_for_a_missing_replica_for_a_limited_time() -> None:
+    """Regression: other jobs of the team waited beside machines with room for as long as the
+    replica found no machine in its zone."""
+
+    async def run() -> None:
+        now = asyncio.get_running_loop().time()
+        workers = new_workers(now)
+        cluster = workers.cluster
+        cluster.types = {"g": MachineType("g", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])}
+        placement = new_placement(workers, SimpleNamespace(versions={}))
+        placement.snapshot.teams = {"t": Team("t", cpus_max=2.0)}
+        lost = add_schedulable_machine(cluster, "m-1", "b", now)
+        add_schedulable_machine(cluster, "m-2", "a", now)
+        service = spec(id="j-1", daemon=True, cpus=2.0, priority=0, zone="b")
+        replica = cluster.jobs["j-1"] = Job(service, now - 500.0)
+        cluster.allocate(replica, 0, 1, lost, "round/1")
+        cluster.remove_machine(lost, now, "it has failed")
+        cluster.jobs["j-2"] = Job(spec(id="j-2", zone="a"), now)
+
+        async def started(after_s: float) -> list[str]:
+            cluster.machines["m-2"].last_heard = now + after_s
+            return [x.job for x in (await placement.decide(now + after_s)).assignments]
+
+        assert await started(constants.REPLICA_QUOTA_HOLD_S - 0.1) == []
+        assert await started(constants.REPLICA_QUOTA_HOLD_S) == ["j-2"]
+        add_schedulable_machine(cluster, "m-3", "b", now + 100.0)
+        assert await started(100.0) == ["j-1"]  # it still goes first
+
+    asyncio.run(run())
+
+
 def test_among_starving_jobs_a_large_gang_goes_before_an_older_small_one() -> None:
     """A large gang needs machines that become free one by one; a small one finds capacity soon."""
 
