No limit is kept for a gang that does not fit beside its team's services

What callers saw (by reading, and in the unit test): once a gang starved that its team's limit did not allow, no other job of the team started any more.

Cause: for a starving gang all that the team's work frees is kept. Services never end, so that the gang may never fit beside those that it can't preempt.

Change: TeamQuotas.may_ever_allow looks whether the gang fits beside them; the limit is kept for it only then.

Evidence: the new test fails without the condition and passes with it.

--- a/peathall/placement/placement.py
+++ b/peathall/placement/placement.py
@@ -115,6 +115,7 @@
             recent_gangs=snapshot.jobs.recent_gangs(),
             lowest_priority=max((job.spec.priority for job in active if job.attempts), default=-1),
             team_workload=snapshot.victims.team_workload,
+            lasting_usage=snapshot.victims.lasting_usage,
             reserved=snapshot.jobs.reserved(),
         )
         since = self.loop.time()
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -11,7 +11,7 @@
 from peathall.placement.pool import MachinePool
 from peathall.placement.preemption import Preemption
 from peathall.placement.quota_preemption import TeamWorkloadLookup
-from peathall.placement.quotas import TeamQuotas
+from peathall.placement.quotas import LastingUsageLookup, TeamQuotas
 from peathall.placement.views import JobView, MachineView, TeamWorkload
 from peathall.protocol.jobs import JobSpec
 
@@ -35,10 +35,11 @@
         recent_gangs: Sequence[JobSpec] = (),
         lowest_priority: int | None = None,
         team_workload: TeamWorkloadLookup = lambda team, priority: TeamWorkload(),
+        lasting_usage: LastingUsageLookup = lambda team, priority: (0.0, 0.0),
         reserved: Sequence[tuple[JobSpec, int]] = (),
     ) -> None:
         self.pool = MachinePool(machines, prefer_spot, recent_gangs)
-        self.quotas = TeamQuotas(teams, usage)
+        self.quotas = TeamQuotas(teams, usage, lasting_usage)
         for spec, count in reserved:
             self.quotas.reserve(spec, count)
         self.plan = Plan()
@@ -109,7 +110,8 @@
         if job.has_old_attempts:
             return
         if self.quotas.allowance_for(spec, spec.tasks) < spec.tasks:
-            if not self.preemption.preempt_own_team(job, spec.tasks) and job.is_starving:
+            will_fit = self.preemption.preempt_own_team(job, spec.tasks)
+            if not will_fit and job.is_starving and self.quotas.may_ever_allow(spec):
                 # Otherwise smaller jobs of the team would use each part of the limit once freed.
                 self.quotas.use(spec, spec.tasks)
             return
--- a/peathall/placement/quotas.py
+++ b/peathall/placement/quotas.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from peathall.cluster.job import Job, JobHealth
 from peathall.config.platform import Team
@@ -35,6 +35,10 @@
     return within_quota
 
 
+# (team, priority) -> CPUs and GPUs of the team's replicas that a job of this priority can't preempt.
+LastingUsageLookup = Callable[[str, int], tuple[float, float]]
+
+
 class TeamQuotas:
     """CPUs and GPUs that each team uses, including tasks that the round has already placed.
 
@@ -42,8 +46,14 @@
     that waits until preempted tasks are gone, so that no other job of the team uses it.
     """
 
-    def __init__(self, teams: Mapping[str, Team], usage: Mapping[str, Sequence[float]]) -> None:
+    def __init__(
+        self,
+        teams: Mapping[str, Team],
+        usage: Mapping[str, Sequence[float]],
+        lasting_usage: LastingUsageLookup = lambda team, priority: (0.0, 0.0),
+    ) -> None:
         self._teams = teams
+        self._lasting_usage = lasting_usage
         self._usage = {team: [use[0], use[1]] for team, use in usage.items()}
         self._reserved: dict[str, int] = {}  # job -> tasks
 
@@ -55,6 +65,17 @@
             wanted = min(wanted, int((left + EPS) / need))
         return max(0, wanted)
 
+    def may_ever_allow(self, spec: JobSpec) -> bool:
+        """Whether the limit allows all tasks of the job once all work of the team has ended that
+        ends by itself or that the job may preempt."""
+        team = self._teams[spec.team]
+        lasting = self._lasting_usage(spec.team, spec.priority)
+        needs = ((spec.cpus, team.cpus_max, lasting[0]), (spec.gpus, team.gpus_max, lasting[1]))
+        return all(
+            not limit or not need or need * spec.tasks <= limit - used + EPS
+            for need, limit, used in needs
+        )
+
     def excess(self, spec: JobSpec, count: int) -> tuple[float, float]:
         """CPUs and GPUs by which `count` more tasks would exceed the team's limit."""
         excess = [0.0, 0.0]
--- a/peathall/placement/victims.py
+++ b/peathall/placement/victims.py
@@ -40,6 +40,17 @@
                 units += self._units(job)
         return TeamWorkload((cpus, gpus), units)
 
+    def lasting_usage(self, team: str, priority: int) -> tuple[float, float]:
+        """CPUs and GPUs of the team's replicas that a job of `priority` can't preempt: they are in
+        use until their jobs are cancelled."""
+        cpus = gpus = 0.0
+        for job in self.cluster.jobs.values():
+            spec = job.spec
+            if spec.daemon and spec.team == team and spec.priority <= priority:
+                remaining = sum(1 for attempt in job.attempts.values() if not attempt.is_ending)
+                cpus, gpus = cpus + spec.cpus * remaining, gpus + spec.gpus * remaining
+        return cpus, gpus
+
     def _units(self, job: Job) -> list[list[Victim]]:
         """The job's victims, in lists that are preempted as a whole: independent tasks one by one,
         and a gang together, provided that all of it may be preempted."""
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -202,6 +202,34 @@
     asyncio.run(run())
 
 
+def test_no_limit_is_kept_for_a_gang_that_does_not_fit_beside_its_team_s_services() -> None:
+    """Regression: once the gang starved, no other job of the team was started any more, although
+    services never end and the gang could not preempt them."""
+
+    async def run() -> None:
+        now = asyncio.get_running_loop().time()
+        for service_priority, started in ((1, ["j-3"]), (3, [])):
+            workers = new_workers(now)
+            cluster = workers.cluster
+            cluster.types = {
+                "g": MachineType("g", 8.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])
+            }
+            placement = new_placement(workers, SimpleNamespace(versions={}))
+            placement.snapshot.teams = {"t": Team("t", cpus_max=4.0)}
+            machine = add_schedulable_machine(cluster, "m-1", "a", now)
+            service = spec(id="j-1", daemon=True, cpus=2.0, priority=service_priority)
+            replica = cluster.allocate(Job(service, now), 0, 1, machine, "round/1")
+            replica.enter(AttemptPhase.RUNNING, now)
+            cluster.jobs["j-1"] = replica.job
+            gang = spec(id="j-2", gang=True, tasks=2, cpus=2.0)
+            cluster.jobs["j-2"] = Job(gang, now - constants.STARVING_S - 100.0)
+            cluster.jobs["j-3"] = Job(spec(id="j-3", cpus=2.0, priority=3), now)
+            plan = await placement.decide(now)
+            assert [x.job for x in plan.assignments] == started
+
+    asyncio.run(run())
+
+
 def test_among_starving_jobs_a_large_gang_goes_before_an_older_small_one() -> None:
     """A large gang needs machines that become free one by one; a small one finds capacity soon."""
 
