--- a/peathall/placement/quotas.py
+++ b/peathall/placement/quotas.py
@@ -35,7 +35,7 @@
     return within_quota
 
 
-# (team, priority) -> CPUs and GPUs of the team's replicas that a job of this priority can't preempt.
+# (team, priority) -> CPUs and GPUs of the team's replicas that such a job can't preempt.
 LastingUsageLookup = Callable[[str, int], tuple[float, float]]
 
 
