Late copies of start commands that came by response start nothing

What callers could see: a task that failed within the second in which it was started could be started once more by a late copy of the response that had started it.

Cause: the leader kept the fencing token of direct starts only. An attempt started by a response could be forgotten with the same token, after which the worker takes the copy as new.

Change: StartTokens (before: DirectStarts) keeps the token of every start command. An attempt is forgotten, and an absent one released, once the worker has seen a higher token.

--- a/peathall/workers/attempt_control.py
+++ b/peathall/workers/attempt_control.py
@@ -5,8 +5,8 @@
 from peathall.cluster.job import Attempt, AttemptPhase, Job
 from peathall.cluster.state import ClusterState
 from peathall.workers.delivery import CommandDelivery
-from peathall.workers.direct_starts import DirectStarts
 from peathall.workers.events import WorkerListener
+from peathall.workers.start_tokens import StartTokens
 
 
 class AttemptControl:
@@ -16,12 +16,12 @@
         self,
         cluster: ClusterState,
         delivery: CommandDelivery,
-        direct_starts: DirectStarts,
+        start_tokens: StartTokens,
         listener: WorkerListener,
     ) -> None:
         self.cluster = cluster
         self.delivery = delivery
-        self.direct_starts = direct_starts
+        self.start_tokens = start_tokens
         self.listener = listener
 
     def stop(self, attempt: Attempt, grace_s: float, now: float) -> None:
@@ -54,7 +54,7 @@
         """Handle the loss of attempts, which are released already: their machine is gone, its lease
         expired, or its heartbeat does not report them."""
         for attempt in attempts:
-            self.direct_starts.forget(attempt)
+            self.start_tokens.forget(attempt)
             if attempt.job.spec.gang:
                 self.stop_gang(attempt.job, attempt.number, now)
         self.listener.state_changed()
--- a/peathall/workers/attempt_tracking.py
+++ b/peathall/workers/attempt_tracking.py
@@ -4,8 +4,8 @@
 
 from msgspec import Struct
 
-from peathall.workers.direct_starts import DirectStarts
 from peathall.workers.exits import ExitedAttempts
+from peathall.workers.start_tokens import StartTokens
 from peathall.workers.unknown_tasks import UnknownTasks
 
 
@@ -14,7 +14,7 @@
 
     exits: ExitedAttempts
     unknown_tasks: UnknownTasks
-    direct_starts: DirectStarts
+    start_tokens: StartTokens
 
     def drop_machine(self, machine: str) -> None:
         """Forget the tasks reported by a machine that is gone."""
--- a/peathall/workers/commands.py
+++ b/peathall/workers/commands.py
@@ -20,12 +20,12 @@
         self.tokens = tokens
         self.exits = tracking.exits
         self.unknown_tasks = tracking.unknown_tasks
-        self.direct_starts = tracking.direct_starts
+        self.start_tokens = tracking.start_tokens
         self.loop = asyncio.get_running_loop()
 
     def for_response(self, machine: Machine, now: float) -> list[Command]:
         """Commands for the response to a heartbeat."""
-        commands = self._attempt_commands(machine, now, direct=False)
+        commands = self._attempt_commands(machine, now)
         commands += self._forget_commands(machine, constants.MACHINE_TASKS_MAX - len(commands))
         for status in self.unknown_tasks.of(machine.name):
             commands.append(StopCommand(status.job, status.task, status.attempt, 0.0))
@@ -33,9 +33,9 @@
 
     def for_delivery(self, machine: Machine, now: float) -> list[Command]:
         """Commands to send directly: only starts and stops, since forget commands can wait."""
-        return self._attempt_commands(machine, now, direct=True)
+        return self._attempt_commands(machine, now)
 
-    def _attempt_commands(self, machine: Machine, now: float, direct: bool) -> list[Command]:
+    def _attempt_commands(self, machine: Machine, now: float) -> list[Command]:
         """Start and stop commands, at most as many as a response may hold."""
         commands: list[Command] = []
         usable = machine.confirmed and machine.phase in (MachinePhase.UP, MachinePhase.DRAINING)
@@ -54,8 +54,7 @@
                 commands.append(StartCommand(job_id, task, attempt.number))
                 attempt.enter(AttemptPhase.SENT, now)
                 attempt.epoch = machine.epoch
-                if direct:
-                    self.direct_starts.note(attempt, self.tokens.current)
+                self.start_tokens.note(attempt, self.tokens.current)
         return commands
 
     def _may_start(self, attempt: Attempt) -> bool:
--- a/peathall/workers/exit_handler.py
+++ b/peathall/workers/exit_handler.py
@@ -10,13 +10,13 @@
 from peathall.cluster.state import ClusterState
 from peathall.protocol.heartbeats import ExitReason, TaskStatus
 from peathall.workers.attempt_control import AttemptControl
-from peathall.workers.direct_starts import DirectStarts
 from peathall.workers.events import WorkerListener
 from peathall.workers.exits import ExitedAttempt
 from peathall.workers.faults import FaultTracker
 from peathall.workers.fencing import FencingTokenCounter
 from peathall.workers.images import CachedImages
 from peathall.workers.quarantine import Quarantine
+from peathall.workers.start_tokens import StartTokens
 
 log = logging.getLogger("peathall.workers")
 
@@ -32,7 +32,7 @@
         self,
         cluster: ClusterState,
         tokens: FencingTokenCounter,
-        direct_starts: DirectStarts,
+        start_tokens: StartTokens,
         faults: FaultTracker,
         quarantine: Quarantine,
         control: AttemptControl,
@@ -41,7 +41,7 @@
     ) -> None:
         self.cluster = cluster
         self.tokens = tokens
-        self.direct_starts = direct_starts
+        self.start_tokens = start_tokens
         self.faults = faults
         self.quarantine = quarantine
         self.control = control
@@ -65,24 +65,20 @@
         # A replica of a daemon is never done: even one that reports success is started again.
         done = status.exit_reason is ExitReason.DONE and not (job is not None and job.spec.daemon)
         # Attempts of earlier terms need no token: the tokens of this term fence their starts.
-        direct_start_token = 0
+        start_token = 0
         if attempt is not None:
-            direct_start_token = self.direct_starts.forget(attempt)
+            start_token = self.start_tokens.forget(attempt)
             if attempt.phase in (AttemptPhase.FETCHING, AttemptPhase.SENT) and done:
                 self.images.note(machine, attempt)
         elif status.attempt >= self.tokens.lowest:
-            direct_start_token = (
-                before.direct_start_token if before is not None else self.tokens.current
-            )
+            start_token = before.start_token if before is not None else self.tokens.current
         if job is not None and done and job.phase is JobPhase.ACTIVE:
             self._note_done(job, status.task, machine, now)
         if attempt is not None and attempt.phase is not AttemptPhase.GONE:
             self._end_attempt(machine, attempt, status, now)
         # The successful exit of a task whose job is not known yet is handled again later.
         settled = job is not None or not done
-        return ExitedAttempt(
-            status.job, status.task, status.attempt, done, direct_start_token, settled
-        )
+        return ExitedAttempt(status.job, status.task, status.attempt, done, start_token, settled)
 
     def _note_done(self, job: Job, task: int, machine: Machine, now: float) -> None:
         job.has_started = True
--- a/peathall/workers/exits.py
+++ b/peathall/workers/exits.py
@@ -20,7 +20,7 @@
     task: int
     number: int
     done: bool
-    direct_start_token: int  # of a direct start command that may still arrive; 0: none
+    start_token: int  # of a start command of which a copy may still arrive; 0: none
     settled: bool  # False: its job is not known yet, so the exit is handled again
 
 
@@ -46,11 +46,11 @@
     def forgettable(self, machine: str, fencing_token: int) -> Iterable[ExitedAttempt]:
         """Ended attempts for which a forget command may be sent in a response with `fencing_token`.
 
-        Their end is stored, and the worker refuses a late direct start command once it has seen
-        this response, since the command carries a lower token.
+        Their end is stored, and the worker refuses a late copy of the start command once it has
+        seen this response, since the command carries a lower token.
         """
         for exited in self.of(machine).values():
-            if self._end_is_stored(exited) and exited.direct_start_token < fencing_token:
+            if self._end_is_stored(exited) and exited.start_token < fencing_token:
                 yield exited
 
     def _end_is_stored(self, exited: ExitedAttempt) -> bool:
--- a/peathall/workers/reconciler.py
+++ b/peathall/workers/reconciler.py
@@ -43,7 +43,7 @@
         self.tokens = tokens
         self.exits = tracking.exits
         self.unknown_tasks = tracking.unknown_tasks
-        self.direct_starts = tracking.direct_starts
+        self.start_tokens = tracking.start_tokens
         self.exit_handler = exit_handler
         self.control = control
         self.images = images
@@ -173,11 +173,11 @@
         """Release an attempt missing from a conclusive heartbeat, unless it may still start."""
         if attempt.phase in (AttemptPhase.PLANNED, AttemptPhase.INTENDED):
             return  # no start command was sent
-        if self.direct_starts.may_arrive(attempt, seen_token):
+        if self.start_tokens.may_arrive(attempt, seen_token):
             return
         is_of_this_term = attempt.number >= self.tokens.lowest
         if attempt.phase is AttemptPhase.SENT and not attempt.stopping and is_of_this_term:
             return  # the response with the start command was lost: the next one repeats it
-        self.direct_starts.forget(attempt)
+        self.start_tokens.forget(attempt)
         self.cluster.release(attempt, now)
         self.control.note_lost([attempt], now)
--- a/peathall/workers/direct_starts.py
+++ b/peathall/workers/start_tokens.py
@@ -1,15 +1,16 @@
-"""Start commands that were sent directly and may be executed late."""
+"""The fencing tokens of start commands, of which late copies may arrive."""
 
 from __future__ import annotations
 
 from peathall.cluster.job import Attempt
 
 
-class DirectStarts:
-    """The fencing tokens of start commands that were sent directly.
+class StartTokens:
+    """The fencing token of the latest start command for each attempt.
 
-    Direct commands are not ordered with heartbeats: a command may arrive after the worker has sent
-    a later heartbeat. Only a worker that has seen a higher token refuses it.
+    A start command, or a copy of one that was executed before, may arrive after the worker has sent
+    a later heartbeat. A worker that no longer knows the attempt refuses the command only once it
+    has seen a higher token.
     """
 
     def __init__(self) -> None:
@@ -24,5 +25,5 @@
         return self._tokens.get(attempt, 0) >= seen_token
 
     def forget(self, attempt: Attempt) -> int:
-        """Forget an attempt that has ended. Returns the token of its direct start, 0 if none."""
+        """Forget an attempt that has ended. Returns the token of its start command, 0 if none."""
         return self._tokens.pop(attempt, 0)
--- a/peathall/workers/workers.py
+++ b/peathall/workers/workers.py
@@ -15,7 +15,6 @@
 from peathall.workers.attempt_tracking import AttemptTracking
 from peathall.workers.commands import DueCommands
 from peathall.workers.delivery import CommandDelivery, DeliveryLimits
-from peathall.workers.direct_starts import DirectStarts
 from peathall.workers.events import WorkerListener
 from peathall.workers.exit_handler import ExitHandler
 from peathall.workers.exits import ExitedAttempts
@@ -28,6 +27,7 @@
 from peathall.workers.probes import LivenessProbes
 from peathall.workers.quarantine import Quarantine
 from peathall.workers.reconciler import Reconciler
+from peathall.workers.start_tokens import StartTokens
 from peathall.workers.unknown_tasks import UnknownTasks
 
 
@@ -57,12 +57,12 @@
         self.faults = FaultTracker(cluster)
         self.health = MachineHealth(cluster, settings, now, heartbeats_elsewhere)
         self.probes = LivenessProbes(self.health, is_leader)
-        self.tracking = AttemptTracking(ExitedAttempts(cluster), UnknownTasks(), DirectStarts())
+        self.tracking = AttemptTracking(ExitedAttempts(cluster), UnknownTasks(), StartTokens())
         self.commands = DueCommands(self.tokens, self.tracking)
         self.delivery = CommandDelivery(
             self, is_leader, limits.connections, limits.deferrable_per_s
         )
-        self.control = AttemptControl(cluster, self.delivery, self.tracking.direct_starts, listener)
+        self.control = AttemptControl(cluster, self.delivery, self.tracking.start_tokens, listener)
         self.leases = LeaseExpiry(
             cluster, settings.lease_expiry_s, self.tracking.exits, self.control
         )
@@ -71,7 +71,7 @@
         self.exit_handler = ExitHandler(
             cluster,
             self.tokens,
-            self.tracking.direct_starts,
+            self.tracking.start_tokens,
             self.faults,
             self._quarantine,
             self.control,
