--- a/peathall/leadership/election.py
+++ b/peathall/leadership/election.py
@@ -157,12 +157,17 @@
         )
 
     async def _await_change(self, version: int) -> None:
-        """Return once the leader key has changed since this version, or the watch has ended."""
+        """Return once the leader key has changed since this version."""
         after = version
         while True:
             result = await self.store.watch(LEADER_KEY, after)
             if result is None:
-                return
+                # The service no longer has the changes since then. Reading only the key again would
+                # give the same version, and a watch from there the same answer, without end.
+                items, after = await self.store.scan(LEADER_KEY)
+                if (LEADER_KEY, version) not in [(item.key, item.version) for item in items]:
+                    return
+                continue
             after, events = result
             if any(event.key == LEADER_KEY for event in events):
                 return
--- a/tests/unit/test_leader.py
+++ b/tests/unit/test_leader.py
@@ -29,7 +29,7 @@
 from peathall.leadership.term import LeaderTerm
 from peathall.operator_config.settings import OperatorSettings
 from peathall.placement.rounds import ROUND_PREFIX
-from peathall.protocol.state_service import KeyValue
+from peathall.protocol.state_service import KeyValue, WatchEvent
 from peathall.store.errors import StoreError
 from peathall.store.transaction import GuardKey
 from tests.unit.running import run
@@ -269,3 +269,46 @@
             assert not election.is_leader()
 
     run(test)
+
+
+def test_a_follower_watches_a_leader_key_that_is_older_than_the_changes_that_are_kept() -> None:
+    """Regression: it read the key and watched from its version in a loop. That took all of its
+    requests, so that it answered no poll while other controllers refused it (review/5)."""
+    key_version, present = 3, 20_000
+    leader_record = {"member": "hall-2", "term": 4, "lease": 9}
+
+    class StoreWithManyChanges(RecordingStore):
+        def __init__(self) -> None:
+            super().__init__()
+            self.requests: list[str] = []
+            self.changed = asyncio.Event()
+
+        async def get(self, key: str, *args: Any, **named: Any) -> KeyValue | None:
+            self.requests.append("get")
+            return None if self.changed.is_set() else KeyValue(key, leader_record, key_version)
+
+        async def scan(self, prefix: str, *args: Any) -> Any:
+            self.requests.append("scan")
+            return [KeyValue("lead", leader_record, key_version)], present
+
+        async def watch(self, prefix: str, after: int) -> Any:
+            self.requests.append(f"watch {after}")
+            if after < present - 10_000:
+                await asyncio.sleep(0)
+                return None
+            await self.changed.wait()
+            return present + 1, [WatchEvent("lead", present + 1, deleted=True)]
+
+    async def lead(term: LeaderTerm) -> None:
+        await asyncio.Event().wait()
+
+    async def test() -> None:
+        store = StoreWithManyChanges()
+        async with campaigning(store, lead) as election:
+            await asyncio.sleep(0.1)
+            assert store.requests == ["get", "watch 3", "scan", "watch 20000"]
+            assert election.leader == "hall-2"
+            store.changed.set()
+            await wait_until(lambda: store.requests.count("get") == 2)
+
+    run(test)
