--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -232,6 +232,8 @@
 ACCEPT_TIMEOUT_S = 1.5  # a commit usually takes 10 ms; then the response is 503 with Retry-After
 RETRY_AFTER_S = 1  # value of Retry-After in responses with status 429, 503 or 504
 FOLLOWER_TIMEOUT_S = 0.7  # access to the state service without a leader; leaves time to respond
+# Between a follower's reads of the tasks placed on machines: a job's status may lag by up to 3 s.
+PLACED_TASKS_MAX_AGE_S = 1.0
 STORE_FRESH_S = 8.0  # a working watch gets a response at least this often, see WATCH_HOLD_S
 PEER_FRESH_S = 4.0  # without a response of any peer for this long, peers count as unreachable
 PING_INTERVAL_S = 1.5  # between pings to each peer; also their timeout
--- a/peathall/controller/controller.py
+++ b/peathall/controller/controller.py
@@ -35,6 +35,7 @@
 from peathall.peers.client import Peers
 from peathall.peers.redirected_workers import RedirectedWorkers
 from peathall.peers.server import FeatureRoutes, PeerServer
+from peathall.placement.placed_tasks import PlacedTasks
 from peathall.protocol.heartbeats import task_status_cache
 from peathall.store.client import StoreClient
 from peathall.store.errors import StoreError
@@ -86,7 +87,7 @@
         self.leaders = LeaderDirectory(settings.name, self.election, self.store, self.peers)
         self.duties = self._make_duties() if mode is not Mode.OFF else None
         self.follower_service = FollowerService(
-            self.store, settings.params, self.operator.cells is not None
+            self.store, settings.params, self.operator.cells is not None, PlacedTasks(self.store)
         )
         self._assemble_listeners()
 
--- a/peathall/jobs/follower.py
+++ b/peathall/jobs/follower.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
+from typing import Protocol
 
 from peathall import constants
 from peathall.config.platform import Params
@@ -23,16 +24,44 @@
 from peathall.store.errors import ConflictError
 
 
+class PlacedTaskCounts(Protocol):
+    """Tasks that a leader has placed on machines, as far as the state service shows."""
+
+    async def refresh(self) -> None:
+        """Bring the counts up to date, if the state service can be read."""
+
+    def count(self, job_id: str) -> int:
+        """Number of tasks of the job that may be on machines."""
+
+
+class NoPlacedTasks:
+    """Counts no tasks: every job without a final status is reported as queued."""
+
+    async def refresh(self) -> None:
+        """Nothing to read."""
+
+    def count(self, job_id: str) -> int:
+        """Always 0."""
+        return 0
+
+
 class FollowerService:
     """Answers submissions and queries. While the leader is unreachable all users may poll here,
     so requests to the state service are kept few: one read updates the live jobs for all waiting
     queries, and final statuses, which never change, are cached."""
 
-    def __init__(self, store: StoreClient, params: Params, cells: bool = False) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        params: Params,
+        cells: bool = False,
+        placed: PlacedTaskCounts | None = None,
+    ) -> None:
         self.cells = cells  # whether there may be borrowed jobs in the state service
         self.store = store
         self.params = params
         self.live = LiveJobIndex(store)
+        self.placed = placed or NoPlacedTasks()
         self.types: dict[str, MachineType] = {}
         self._final_responses: OrderedDict[str, JobResponse] = OrderedDict()  # oldest first
 
@@ -94,7 +123,7 @@
             final = self.live.final_statuses.get(job_id)
             if final is not None:
                 return self._cache_final(job_id, final)
-            return responses.found(encode_job_status(job_id, JobStatus.QUEUED))
+            return await self._live_response(job_id)
         archived = await self.store.get(records.ARCHIVE_PREFIX + job_id)
         if archived is None:
             borrowed = (
@@ -103,6 +132,14 @@
             return RETRY_LATER if borrowed else None  # only a leader can ask the job's home cell
         return self._cache_final(job_id, records.read_final(archived.value))
 
+    async def _live_response(self, job_id: str) -> JobResponse:
+        """The response for a live job: tasks that the leader has placed count as running, since
+        only the leader hears whether they have begun."""
+        await self.placed.refresh()
+        running = self.placed.count(job_id)
+        status = JobStatus.RUNNING if running else JobStatus.QUEUED
+        return responses.found(encode_job_status(job_id, status, running=running))
+
     def _cache_final(self, job_id: str, final: records.FinalRecord) -> JobResponse:
         response = responses.found(encode_job_status(job_id, final.status, final.done))
         self._final_responses[job_id] = response
--- a/peathall/jobs/live_index.py
+++ b/peathall/jobs/live_index.py
@@ -1,8 +1,4 @@
-"""A follower's cache of the records of live jobs.
-
-The first use scans all records. Each later refresh reads only the changes since the previous one,
-in one request that serves all waiting callers.
-"""
+"""A follower's cache of the records of live jobs."""
 
 from __future__ import annotations
 
@@ -10,55 +6,32 @@
 
 from peathall.jobs import records
 from peathall.store.client import StoreClient
-from peathall.store.single_flight import SingleFlightRead
+from peathall.store.followed_records import FollowedRecords
 
 
 class LiveJobIndex:
     """Ids of the live jobs, and the final statuses of those that are not archived yet."""
 
     def __init__(self, store: StoreClient) -> None:
-        self.store = store
         self.record_counts: dict[str, int] = {}  # job id -> number of records with the job
         self.final_statuses: dict[str, records.FinalRecord] = {}  # by job id
-        self._revision: int | None = None  # of the cached records; None: a scan is needed
         self._jobs_by_record: dict[str, list[str]] = {}  # record key -> job ids
         self._jobs_by_final_record: dict[str, list[str]] = {}  # likewise, for final statuses
-        self._reading = SingleFlightRead(self._read)
+        self._records = FollowedRecords(store, records.LIVE_PREFIX, self)
 
     async def refresh(self) -> None:
         """Apply everything that was stored before this call; raises StoreError on failure."""
-        await self._reading.refresh()
-
-    async def _read(self) -> None:
-        if self._revision is None or not await self._apply_changes(self._revision):
-            items, revision = await self.store.scan(records.LIVE_PREFIX)
-            self._clear()
-            for item in items:
-                self._apply(item.key, item.value)
-            # The pages of a scan may be read at different revisions, so the changes since the
-            # first page are applied as well.
-            await self._apply_changes(revision)
+        await self._records.refresh()
 
-    def _clear(self) -> None:
-        self._revision = None
+    def clear(self) -> None:
+        """As RecordIndex.clear."""
         self.record_counts = {}
         self.final_statuses = {}
         self._jobs_by_record = {}
         self._jobs_by_final_record = {}
 
-    async def _apply_changes(self, revision: int) -> bool:
-        """Apply the changes after the revision; returns False if the state service no longer
-        has all of them."""
-        changes = await self.store.changes_since(records.LIVE_PREFIX, revision)
-        if changes is None:
-            return False
-        self._revision, events = changes
-        for event in events:
-            self._apply(event.key, None if event.deleted else event.value)
-        return True
-
-    def _apply(self, key: str, value: Any) -> None:
-        """Apply the new value of a record; None: the record was deleted."""
+    def apply(self, key: str, value: Any) -> None:
+        """As RecordIndex.apply."""
         if key.startswith(records.FINAL_STATUS_PREFIX):
             self._apply_final_statuses(key, value)
         else:
--- a/tests/unit/test_rounds.py
+++ b/tests/unit/test_rounds.py
@@ -10,12 +10,14 @@
 
 import pytest
 
+from peathall import constants
 from peathall.cluster.job import AttemptPhase, Job
 from peathall.cluster.machine import MachinePhase
 from peathall.cluster.ranges import Ranges
 from peathall.cluster.state import ClusterState
 from peathall.config.platform import StateSettings
 from peathall.leadership.lease import first_number_of_term
+from peathall.placement.placed_tasks import PlacedTasks
 from peathall.placement.plan import Assignment, Plan
 from peathall.placement.round_entries import (
     RoundEntry,
@@ -316,3 +318,21 @@
             assert sum(s.count for s in decided.assignments if s.job == "j-2") == 130
 
     asyncio.run(run())
+
+
+def test_placed_tasks_are_counted_from_the_records_of_rounds() -> None:
+    async def run() -> None:
+        store = FakeStore()
+        placed = PlacedTasks(store)  # type: ignore[arg-type]
+        store.write("round/1-1", {"a": [["j-1", 7, "m-1", [[0, 3]]], ["j-2", 8, "m-1", [[5, 6]]]]})
+        await placed.refresh()
+        assert [placed.count(job_id) for job_id in ("j-1", "j-2", "j-3")] == [3, 1, 0]
+        store.write("round/1-2", {"a": [["j-1", 9, "m-2", [[3, 4], [8, 9]]]]})
+        store.write("round/1-1", None)
+        await placed.refresh()  # too soon: nothing is read
+        assert placed.count("j-2") == 1
+        placed._refreshed_at -= constants.PLACED_TASKS_MAX_AGE_S
+        await placed.refresh()
+        assert [placed.count(job_id) for job_id in ("j-1", "j-2")] == [2, 0]
+
+    asyncio.run(run())
