A job that has waited for 60 s may fill one machine kept for a next gang

What callers saw: an array waited for 128 s beside two idle machines that fit it. They were kept for 180 s for a next gang of its class.

Cause: only starving jobs (150 s) and urgent ones were exempt from leaving that capacity free.

Change: a job without any attempt for GANG_CAPACITY_WAIT_S fills one such machine, and leaves the others free.

--- a/peathall/constants.py
+++ b/peathall/constants.py
@@ -159,6 +159,8 @@
 ROUND_REJECTED_BACKOFF_S = 2.0
 ROUND_MAX_WAIT_S = 2.0  # between rounds without a request: deadlines and health change with time
 RECENT_GANG_S = 180.0  # after a gang of a class arrives, capacity is left free for the next one
+# Wait without any attempt after which a job may fill one machine that is kept for a next gang.
+GANG_CAPACITY_WAIT_S = 60.0
 STABLE_START_S = 31.0  # a start that is stopped within 30 s does not count for the objectives
 # Times the duration of a checkpoint. A task with periodic checkpoints at most this far apart is
 # preempted without a new one: it loses half an interval on average, at most twice the delay that a
--- a/peathall/placement/job_views.py
+++ b/peathall/placement/job_views.py
@@ -150,6 +150,8 @@
             running_zones=self._running_zones(job),
             has_old_attempts=job.spec.gang and bool(job.attempts),
             urgent=starving or job.spec.daemon or late,
+            may_use_gang_capacity=not job.attempts
+            and self.context.now - job.idle_since > constants.GANG_CAPACITY_WAIT_S,
             is_starving=starving,
             fetch_s=self._fetch_s(job.spec),
             avoid=self._avoid(job),
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -149,16 +149,18 @@
             without_replica = [m for m in machines if m.name not in job.replica_machines]
             limits = [1] * len(without_replica) + limits
             machines = without_replica + machines
+        leaves_gang_capacity = not (job.urgent or job.may_use_gang_capacity)
         for machine, limit in zip(machines, limits, strict=True):
             if wanted <= 0:
                 break
             count = min(machine.capacity_for(spec), wanted, limit)
-            if not job.urgent:
+            if leaves_gang_capacity:
                 count = self.pool.limit_for_gangs(machine, spec, count)
             count = min(count, zone_allowance(job, machine.zone))
             if count > 0:
                 self._start(job, machine, count)
                 wanted -= count
+                leaves_gang_capacity = not job.urgent
         return wanted
 
     def _place_gang(self, job: JobView) -> bool:
--- a/peathall/placement/views.py
+++ b/peathall/placement/views.py
@@ -198,6 +198,8 @@
     running_zones: dict[str, int] = field(default_factory=dict)  # zone -> tasks there
     has_old_attempts: bool = False  # a gang some of whose earlier attempts are not gone yet
     urgent: bool = True  # may preempt others: would soon miss an objective
+    # Has waited so long that it may fill one machine that is kept for a next gang.
+    may_use_gang_capacity: bool = False
     is_starving: bool = False  # has waited so long that it goes before all other jobs
     is_canary: bool = False  # of a failing job: nothing is preempted for it
     borrowed: bool = False  # of another cell: nothing is preempted or provisioned for it
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -341,6 +341,18 @@
         assert sum(start.count for start in current.plan.assignments) == started
 
 
+def test_tasks_that_have_waited_for_long_fill_one_machine_that_is_kept_for_a_gang() -> None:
+    """Regression: an array waited for 128 s beside idle machines that were kept for a next gang."""
+    gang = spec(id="j-9", gang=True, tasks=3, cpus=4.0, priority=2)
+    for waited, started in ((False, 0), (True, 4)):
+        views = [machine(f"m-{i}", (4.0, 0.0, 80.0)) for i in range(3)]
+        job = JobView(spec(tasks=20), 20, urgent=False, may_use_gang_capacity=waited)
+        current = Round(views, TEAMS, {}, recent_gangs=[gang], lowest_priority=-1)
+        for _ in current.run([job]):
+            pass
+        assert sum(start.count for start in current.plan.assignments) == started
+
+
 def test_replicas_of_a_job_go_to_different_machines_while_there_are_any() -> None:
     """A replica also starts on no machine held for a gang, since it never ends by itself."""
     views = [machine(f"m-{i}", (4.0, 0.0, 8.0)) for i in range(3)]
