A machine is not held for a gang until a long overdue task ends

What callers saw (by reading, and in the unit test): beside a task that had run for longer than estimated no job started, for as long as it went on, if its machine was held for a gang.

Cause: an overdue task was always expected to end in a second, so that no other task should end before the gang could start.

Change: it is expected to go on for as long as it is overdue by now.

Evidence: the new test fails without the change and passes with it.

--- a/peathall/placement/victims.py
+++ b/peathall/placement/victims.py
@@ -82,6 +82,12 @@
             machine.name,
             spec.id in self.context.within_quota,
             (lost_s + constants.RESTART_COST_S) * share,
-            max(1.0, spec.expected_s - ran_s),
+            remaining_s(spec.expected_s, ran_s),
             attempt.job.borrowed,
         )
+
+
+def remaining_s(expected_s: float, ran_s: float) -> float:
+    """Seconds for which a task should go on that has run for `ran_s`. One that is overdue counts as
+    overdue for as long again: it may never end, and others wait for a machine held until then."""
+    return max(1.0, abs(expected_s - ran_s))
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -230,6 +230,36 @@
     asyncio.run(run())
 
 
+def test_a_machine_is_not_held_for_a_gang_until_a_task_ends_that_is_long_overdue() -> None:
+    """Regression: a task that had run for longer than estimated was expected to end in a second,
+    however long it went on. Meanwhile no other task started beside it: the gang was expected to
+    start first."""
+
+    async def run() -> None:
+        now = asyncio.get_running_loop().time()
+        workers = new_workers(now)
+        cluster = workers.cluster
+        cluster.types = {"g": MachineType("g", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])}
+        placement = new_placement(workers, SimpleNamespace(versions={}))
+        machine = add_schedulable_machine(cluster, "m-1", "a", now)
+        overdue = cluster.jobs["j-1"] = Job(spec(id="j-1", cpus=1.0, priority=0), now)
+        attempt = cluster.allocate(overdue, 0, 1, machine, "round/1")
+        attempt.enter(AttemptPhase.RUNNING, now)
+        gang = spec(id="j-2", gang=True, cpus=4.0, priority=1)
+        cluster.jobs["j-2"] = Job(gang, now - constants.STARVING_S)
+        cluster.jobs["j-3"] = Job(spec(id="j-3", cpus=1.0, estimate_s=5.0, priority=3), now)
+
+        async def started(ran_s: float) -> list[str]:
+            machine.last_heard = now + ran_s
+            cluster.jobs["j-3"].idle_since = now + ran_s  # it has not waited for long
+            return [x.job for x in (await placement.decide(now + ran_s)).assignments]
+
+        assert await started(12.0) == []  # 2 s more than estimated
+        assert await started(30.0) == ["j-3"]
+
+    asyncio.run(run())
+
+
 def test_among_starving_jobs_a_large_gang_goes_before_an_older_small_one() -> None:
     """A large gang needs machines that become free one by one; a small one finds capacity soon."""
 
