A provision request that the cloud rejects holds up no others

What callers saw (by reading, and in the tests): after one lost answer and a later 400 to the repetition, no machine was provisioned any more in that term.

Change: RejectedRequestError ends the repetition, also by a duty's holder.

--- a/peathall/autoscaling/actions.py
+++ b/peathall/autoscaling/actions.py
@@ -15,6 +15,13 @@
         self.sent = sent
 
 
+class RejectedRequestError(CloudError):
+    """The cloud can't execute the request, now or later: it must not be repeated."""
+
+    def __init__(self, why: str) -> None:
+        super().__init__(why, sent=False)
+
+
 class NoCapacityError(Exception):
     """The cloud has no machines of the requested type, zone and pricing (spot or on-demand) now."""
 
--- a/peathall/autoscaling/provisioner.py
+++ b/peathall/autoscaling/provisioner.py
@@ -15,6 +15,7 @@
     CloudError,
     NoCapacityError,
     ProvisionRequest,
+    RejectedRequestError,
 )
 from peathall.autoscaling.scale_out import MachineOffer, OfferKey
 from peathall.cluster.machine import MachinePhase
@@ -92,6 +93,11 @@
             self._remove_unanswered(entry)
             self._note_capacity_error(entry.offer)
             return
+        except RejectedRequestError:
+            # Repeated for ever, it would hold up all other requests.
+            self._remove_unanswered(entry)
+            self._note_capacity_error(entry.offer)
+            raise
         except CloudError as exc:
             if exc.sent and entry not in self.unanswered:
                 self.unanswered.append(entry)
--- a/peathall/duties/executor.py
+++ b/peathall/duties/executor.py
@@ -17,7 +17,12 @@
 
 from peathall import constants
 from peathall.async_tasks import end_tasks
-from peathall.autoscaling.actions import CloudActions, CloudError, NoCapacityError
+from peathall.autoscaling.actions import (
+    CloudActions,
+    CloudError,
+    NoCapacityError,
+    RejectedRequestError,
+)
 from peathall.config.platform import StateSettings
 from peathall.duties.claim import DutyClaim, Ownership
 from peathall.duties.model import (
@@ -216,6 +221,9 @@
             return ActionResult(Outcome.DONE)
         except NoCapacityError:
             return ActionResult(Outcome.NO_CAPACITY)
+        except RejectedRequestError as exc:
+            log.warning("duty %s: %s", self.duty.value, exc)
+            return ActionResult(Outcome.NO_CAPACITY)
         except CloudError as exc:
             log.info("duty %s: a cloud request failed, retrying: %s", self.duty.value, exc)
             return None
--- a/peathall/protocol/cloud.py
+++ b/peathall/protocol/cloud.py
@@ -31,6 +31,7 @@
 from typing import Any
 from urllib.parse import quote
 
+import msgspec
 from msgspec import Struct
 
 from peathall.protocol.errors import decode_error
@@ -170,7 +171,7 @@
 
 def decode_provisioned_machines(raw: dict[str, Any]) -> list[str]:
     """Decode the names of the machines that a provision request has created."""
-    return [str(name) for name in raw["halls"]]
+    return msgspec.convert(raw["halls"], list[str])
 
 
 def encode_deletion(machines: list[str]) -> dict[str, Any]:
--- a/tests/unit/test_autoscaling.py
+++ b/tests/unit/test_autoscaling.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import pytest
+
 from peathall import constants
-from peathall.autoscaling.actions import CloudError, ProvisionRequest
+from peathall.autoscaling.actions import CloudError, ProvisionRequest, RejectedRequestError
 from peathall.autoscaling.autoscaler import Autoscaler
 from peathall.autoscaling.scale_out import OfferKey
 from peathall.cluster.machine import Machine, MachinePhase
@@ -25,7 +27,7 @@
         self.deleted: list[list[str]] = []
         self.provisioned: list[tuple[str, int]] = []
         self.in_flight = self.max_in_flight = 0
-        self.no_answer = False
+        self.no_answer = self.rejects = False
 
     async def delete(self, machines: list[str]) -> None:
         self.deleted.append(machines)
@@ -37,6 +39,8 @@
         self.in_flight -= 1
         if self.no_answer:
             raise CloudError("no answer", sent=True)
+        if self.rejects:
+            raise RejectedRequestError("status 400")
         self.provisioned.append((request.request, request.count))
         return [f"{request.request}/{n}" for n in range(request.count)]
 
@@ -109,6 +113,28 @@
     run_test(test)
 
 
+def test_a_provision_request_that_the_cloud_rejects_holds_up_no_others() -> None:
+    """Regression: a request without an answer, whose repetition the cloud rejected, was repeated
+    for ever, and nothing else was provisioned."""
+
+    async def test(autoscaler: Autoscaler, workers: Workers, cloud: FakeCloud) -> None:
+        autoscaler.machine_list.reconcile([], 0.0)
+        job = JobView(spec(id="j-1", cpus=8.0, gpus=0.0, ram=1.0), 1)
+        autoscaler.note_unplaced(plan_with_unplaced(job, 1))
+        cloud.no_answer = True
+        with pytest.raises(CloudError):
+            await autoscaler.scale_out_step()
+        cloud.no_answer, cloud.rejects = False, True
+        with pytest.raises(RejectedRequestError):
+            await autoscaler.scale_out_step()
+        cloud.rejects = False
+        autoscaler.provisioner.capacity_errors.clear()
+        await autoscaler.scale_out_step()
+        assert len(cloud.provisioned) == 1
+
+    run_test(test)
+
+
 def test_a_deletion_never_names_more_machines_than_the_protocol_allows() -> None:
     """Regression: a deletion of 120 machines, 80 idle and 40 failed ones, was refused forever."""
 
