A backoff no longer overflows after 1,024 failures in a row

Cause: 2**failures exceeded the range of a float at the 1,025th failure, which ended the loop that offers jobs to other cells. Change: no more than MAX_DOUBLINGS. The extended test failed before with OverflowError.

--- a/peathall/cells/handoff_policy.py
+++ b/peathall/cells/handoff_policy.py
@@ -24,6 +24,8 @@
 from peathall.placement.views import JobView, MachineView
 from peathall.protocol.jobs import JobSpec, Priority
 
+MAX_DOUBLINGS = 50  # more would exceed any pause, and at last the range of a float
+
 
 class Backoff(Struct):
     """Exponential backoff with jitter; a success resets it."""
@@ -35,7 +37,7 @@
 
     def record_failure(self, now: float, rng: random.Random) -> None:
         """Double the pause, and start it now."""
-        pause = min(self.most_s, self.least_s * 2**self.failures)
+        pause = min(self.most_s, self.least_s * 2.0 ** min(self.failures, MAX_DOUBLINGS))
         self.failures += 1
         self.until = now + pause * (0.5 + rng.random() / 2)
 
--- a/tests/unit/test_cells.py
+++ b/tests/unit/test_cells.py
@@ -170,5 +170,7 @@
         backoff.record_failure(0.0, rng)
         pauses.append(backoff.until)
     assert all(1.0 <= pause <= 60.0 for pause in pauses) and pauses[-1] >= 30.0
+    for _ in range(1100):
+        backoff.record_failure(0.0, rng)  # regression: the 1,025th in a row overflowed
     backoff.record_success()
     assert backoff.until == 0.0
