A single job can't end a round any more, whatever it contains

Cause: quotients by such an amount are infinite (OverflowError), and an error while placing one job ended the round and the leader's term.

Change: tasks_within compares before it divides. An error in a job's view or while it is placed leaves this job out of the round, with a log line that names it.

--- a/peathall/placement/bin_packing.py
+++ b/peathall/placement/bin_packing.py
@@ -10,16 +10,22 @@
 EPS = 1e-6  # CPUs, GPUs or GB; tolerance for rounding errors in sums of decimal fractions
 
 
+def tasks_within(amount: float, need: float, wanted: int) -> int:
+    """How many of the `wanted` tasks fit into the amount of a resource, if each takes `need` of it.
+    The need may be 0, or so small that a quotient by it is infinite."""
+    amount += EPS
+    if need * wanted <= amount:
+        return wanted
+    return int(amount / need) if amount > 0 else 0
+
+
 def fitting_tasks(free: Sequence[float], spec: JobSpec) -> int:
     """Return how many tasks of the job fit into `free` (CPUs, GPUs, GB of memory)."""
     count = spec.tasks
-    if spec.cpus > 0:
-        count = min(count, int((free[0] + EPS) / spec.cpus))
-    if spec.gpus > 0:
-        count = min(count, int((free[1] + EPS) / spec.gpus))
-    if spec.ram > 0:
-        count = min(count, int((free[2] + EPS) / spec.ram))
-    return max(0, count)
+    for amount, need in zip(free, (spec.cpus, spec.gpus, spec.ram), strict=True):
+        if need > 0:
+            count = tasks_within(amount, need, count)
+    return count
 
 
 class MachineAttributes(Protocol):
--- a/peathall/placement/job_views.py
+++ b/peathall/placement/job_views.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 from collections.abc import Collection
 
@@ -18,6 +19,8 @@
 from peathall.protocol.jobs import JobSpec
 from peathall.workers.faults import FaultTracker
 
+log = logging.getLogger("peathall.placement")
+
 
 def is_starving(job: Job, now: float) -> bool:
     """Whether the job has been without attempts for so long, at monotonic time `now`, that it is
@@ -71,11 +74,23 @@
         """Views of the jobs that have a task to start or a replica to move."""
         views = []
         for job in self.active():
-            startable, moving = startable_tasks(job, self.context.now), self._moving(job)
-            if (startable or moving) and not self._zone_unknown(job):
-                views.append(self._view(job, startable, moving))
+            try:
+                view = self._view_if_waiting(job)
+            except Exception:
+                # The other jobs must not wait for a fault that concerns this one.
+                log.exception("job %s is left out of this round", job.spec.id)
+                continue
+            if view is not None:
+                views.append(view)
         return views
 
+    def _view_if_waiting(self, job: Job) -> JobView | None:
+        """The view of the job; None if it has nothing to start or move now."""
+        startable, moving = startable_tasks(job, self.context.now), self._moving(job)
+        if not (startable or moving) or self._zone_unknown(job):
+            return None
+        return self._view(job, startable, moving)
+
     @staticmethod
     def other_cells_view(spec: JobSpec) -> JobView:
         """View of a job of another cell for which capacity is to be reserved."""
--- a/peathall/placement/placement.py
+++ b/peathall/placement/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -25,6 +26,8 @@
 from peathall.store.writer import Writer
 from peathall.workers.workers import Workers
 
+log = logging.getLogger("peathall.placement")
+
 
 class DemandListener(Protocol):
     """Finds capacity elsewhere for tasks that a round could not place."""
@@ -119,6 +122,8 @@
             reserved=snapshot.jobs.reserved(),
         )
         await run_in_slices(current.run(jobs), constants.ROUND_SLICE_S)
+        for job_id, error in current.plan.failed:
+            log.error("job %s is left out of this round", job_id, exc_info=error)
         self.requests.answer(current)
         return current.plan
 
--- a/peathall/placement/plan.py
+++ b/peathall/placement/plan.py
@@ -43,3 +43,12 @@
     unplaced: list[tuple[JobView, int]] = field(default_factory=list)
     # Machine -> CPUs, GPUs and GB of memory that the round left free.
     free_capacity: dict[str, list[float]] = field(default_factory=dict)
+    # Jobs that an error kept from being placed, each with the error.
+    failed: list[tuple[str, Exception]] = field(default_factory=list)
+
+    def leave_out(self, job_id: str, error: Exception) -> None:
+        """Drop what is planned for a job whose placement failed with the error. Capacity that it
+        has been given is not used in this round."""
+        self.assignments = [a for a in self.assignments if a.job != job_id]
+        self.moves = [move for move in self.moves if move.job != job_id]
+        self.failed.append((job_id, error))
--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -59,7 +59,11 @@
         self.pool.prepare(waiting)
         totals = self.pool.totals()
         for job in sorted(waiting, key=lambda job: job_sort_key(job, totals)):
-            self._place(job)
+            try:
+                self._place(job)
+            except Exception as exc:
+                # The other jobs of the round must not wait for a fault that concerns this one.
+                self.plan.leave_out(job.spec.id, exc)
             yield
         self.plan.free_capacity = {m.name: m.free for m in self.pool.machines}
 
--- a/peathall/placement/quota_preemption.py
+++ b/peathall/placement/quota_preemption.py
@@ -70,6 +70,9 @@
         cpus, gpus = self._quotas.excess(spec, wanted)
         missing = 0
         for excess, released, need in ((cpus, freed[0], spec.cpus), (gpus, freed[1], spec.gpus)):
-            if excess > released + EPS:
-                missing = max(missing, ceil((excess - released - EPS) / need))
+            lacking = excess - released - EPS
+            if lacking >= need * wanted:
+                return 0  # also if a quotient by the need would be infinite
+            if lacking > 0:
+                missing = max(missing, ceil(lacking / need))
         return max(0, wanted - missing)
--- a/peathall/placement/quotas.py
+++ b/peathall/placement/quotas.py
@@ -6,7 +6,7 @@
 
 from peathall.cluster.job import Job, JobHealth
 from peathall.config.platform import Team
-from peathall.placement.bin_packing import EPS
+from peathall.placement.bin_packing import EPS, tasks_within
 from peathall.protocol.jobs import JobSpec
 
 
@@ -62,8 +62,8 @@
         if spec.team not in self._teams:
             return 0
         for _, need, left in self._headroom(spec):
-            wanted = min(wanted, int((left + EPS) / need))
-        return max(0, wanted)
+            wanted = tasks_within(left, need, wanted)
+        return wanted
 
     def may_ever_allow(self, spec: JobSpec) -> bool:
         """Whether the limit allows all tasks of the job once all work of the team has ended that
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from peathall import constants
 from peathall.cluster.job import AttemptPhase, Job, JobHealth
 from peathall.cluster.machine import Machine, MachinePhase
 from peathall.cluster.state import ClusterState
 from peathall.config.platform import Team
-from peathall.placement.job_views import is_starving
+from peathall.placement.job_views import JobViews, is_starving
 from peathall.placement.ordering import gang_starving_bonus_s, job_sort_key
 from peathall.placement.plan import Assignment, Plan
+from peathall.placement.planner import Round
 from peathall.placement.views import JobView
 from peathall.protocol.cloud import MachineType
 from tests.unit.test_planner import spec
@@ -348,3 +352,42 @@
         assert list(placement.reservations) == []
 
     asyncio.run(run())
+
+
+def test_a_job_whose_view_fails_is_left_out_and_logged(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Regression: an error about one job ended every round, and with it each leader's term."""
+
+    async def run() -> None:
+        now = asyncio.get_running_loop().time()
+        workers = new_workers(now)
+        cluster = workers.cluster
+        cluster.types = {"g": MachineType("g", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])}
+        placement = new_placement(workers, SimpleNamespace(versions={}))
+        add_schedulable_machine(cluster, "m-1", "a", now)
+        for job_id in ("j-1", "j-2", "j-3"):
+            cluster.jobs[job_id] = Job(spec(id=job_id), now)
+        place, view = Round._place, JobViews._view
+
+        def place_with_fault(current: Round, job: JobView) -> None:
+            place(current, job)
+            if job.spec.id == "j-1":
+                raise OverflowError
+
+        def view_with_fault(views: JobViews, job: Job, *args: Any) -> JobView:
+            if job.spec.id == "j-2":
+                raise OverflowError
+            return view(views, job, *args)
+
+        monkeypatch.setattr(Round, "_place", place_with_fault)
+        monkeypatch.setattr(JobViews, "_view", view_with_fault)
+        plan = await placement.decide(now)
+        assert [x.job for x in plan.assignments] == ["j-3"]
+
+    with caplog.at_level(logging.ERROR, "peathall.placement"):
+        asyncio.run(run())
+    assert sorted(record.getMessage() for record in caplog.records) == [
+        "job j-1 is left out of this round",
+        "job j-2 is left out of this round",
+    ]
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -8,8 +8,11 @@
 import random
 from collections import Counter
 
+import pytest
+
 from peathall.autoscaling.scale_out import Bin, MachineOffer, plan_scale_out
 from peathall.config.platform import Objective, Team
+from peathall.placement.bin_packing import fitting_tasks
 from peathall.placement.ordering import latest_start
 from peathall.placement.plan import Plan
 from peathall.placement.planner import Round, make_plan
@@ -341,6 +344,41 @@
         assert sum(start.count for start in current.plan.assignments) == started
 
 
+@pytest.mark.parametrize("need", [1e-310, 1e-300, 5e-324])
+@pytest.mark.parametrize("resource", ["cpus", "gpus", "ram"])
+def test_a_job_that_needs_next_to_nothing_is_placed(resource: str, need: float) -> None:
+    """Regression: a quotient by such an amount is infinite, which ended every round of every
+    leader for as long as the job was live."""
+    views = [machine("m-1", (4.0, 1.0, 8.0))]
+    tiny = spec(id="j-1", tasks=3, **{"cpus": 1.0, "gpus": 0.0, "ram": 1.0, resource: need})
+    teams = {"t": Team("t", cpus_max=2.0, gpus_max=1.0)}
+    jobs = [JobView(tiny, 3), JobView(spec(id="j-2", gang=True, tasks=2), 2)]
+    for usage in ({}, {"t": [2.0, 1.0]}, {"t": [3.0, 2.0]}):
+        current = Round(views, teams, usage, team_workload=lambda *_: TeamWorkload((9.0, 9.0)))
+        for _ in current.run([JobView(job.spec, job.pending) for job in jobs]):
+            pass
+        assert current.plan.failed == []
+    assert fitting_tasks([4.0, 1.0, 8.0], tiny) == 3
+    assert fitting_tasks([-1.0, -1.0, -1.0], tiny) == 0
+
+
+def test_an_error_while_placing_a_job_costs_only_this_job_its_round(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    place = Round._place
+
+    def place_with_fault(current: Round, job: JobView) -> None:
+        place(current, job)
+        if job.spec.id == "j-1":
+            raise OverflowError("a fault")
+
+    monkeypatch.setattr(Round, "_place", place_with_fault)
+    jobs = [JobView(spec(id=f"j-{n}"), 1) for n in range(3)]
+    plan = make_plan(jobs, [machine("m-1", (4.0, 0.0, 8.0))], TEAMS, {})
+    assert sorted(a.job for a in plan.assignments) == ["j-0", "j-2"]
+    assert [(job_id, str(error)) for job_id, error in plan.failed] == [("j-1", "a fault")]
+
+
 def test_tasks_that_have_waited_for_long_fill_one_machine_that_is_kept_for_a_gang() -> None:
     """Regression: an array waited for 128 s beside idle machines that were kept for a next gang."""
     gang = spec(id="j-9", gang=True, tasks=3, cpus=4.0, priority=2)
