No capacity is kept or preempted in a zone where a job may not start

What callers saw: jobs waited beside machines with room, whose free capacity was kept for replicas that may only start in another zone, which had no machine.

Cause: Preemption chose machines without regard to the job's zone rules.

Change: zone_allowance is a method of JobView, and ZoneRoom bounds by it what is kept, preempted or held in each zone.

Evidence: the new test fails without the change.

--- a/peathall/placement/planner.py
+++ b/peathall/placement/planner.py
@@ -160,7 +160,7 @@
             count = min(machine.capacity_for(spec), wanted, limit)
             if leaves_gang_capacity:
                 count = self.pool.limit_for_gangs(machine, spec, count)
-            count = min(count, zone_allowance(job, machine.zone))
+            count = min(count, job.zone_allowance(machine.zone))
             if count > 0:
                 self._start(job, machine, count)
                 wanted -= count
@@ -210,7 +210,7 @@
             if machine is None:
                 continue
             machine.take(job.spec, -reserved)
-            allowance = zone_allowance(job, machine.zone)
+            allowance = job.zone_allowance(machine.zone)
             count = min(reserved, machine.capacity_for(job.spec), wanted - started, allowance)
             if count > 0:
                 self._start(job, machine, count)
@@ -230,7 +230,7 @@
         for replica in job.moving:
             job.running_zones[replica.zone] = job.running_zones.get(replica.zone, 1) - 1
             target = next(
-                (m for m in machines if m.capacity_for(spec) and zone_allowance(job, m.zone) > 0),
+                (m for m in machines if m.capacity_for(spec) and job.zone_allowance(m.zone) > 0),
                 None,
             )
             if target is None:
@@ -251,19 +251,6 @@
             self.plan.unplaced.append((job, waiting))
 
 
-def zone_allowance(job: JobView, zone: str) -> int:
-    """How many more tasks of the job its `one_zone` and `spread` rules allow in the zone."""
-    spec = job.spec
-    if not (spec.one_zone or spec.spread):
-        return spec.tasks
-    used = {name: count for name, count in job.running_zones.items() if count > 0}
-    if spec.one_zone and used and zone not in used:
-        return 0
-    if spec.spread:
-        return (spec.tasks + 1) // 2 - used.get(zone, 0)
-    return spec.tasks
-
-
 def make_plan(
     jobs: list[JobView],
     machines: list[MachineView],
--- a/peathall/placement/preemption.py
+++ b/peathall/placement/preemption.py
@@ -25,6 +25,24 @@
     count: int
 
 
+class ZoneRoom:
+    """How many more tasks of a job its zone rules allow in each zone, beside those chosen so far.
+
+    Without it, capacity would be kept for tasks that may never start there.
+    """
+
+    def __init__(self, job: JobView) -> None:
+        self._job = job
+        self._taken: dict[str, int] = {}
+
+    def take(self, zone: str, wanted: int) -> int:
+        """Choose up to `wanted` tasks in the zone; returns their number."""
+        taken = self._taken.get(zone, 0)
+        count = max(0, min(wanted, self._job.zone_allowance(zone) - taken))
+        self._taken[zone] = taken + count
+        return count
+
+
 class Preemption:
     """Preempts attempts for jobs that lack capacity on machines or under their team's limit."""
 
@@ -129,11 +147,13 @@
             options = self._options(job, wanted, zone, machines)
             chosen: list[MachineCapacity] = []
             left, total = wanted, 0.0
+            room = ZoneRoom(job)
             for found in options:
-                if left <= 0:
-                    break
-                chosen.append(found.at_most(left))
-                left -= found.count
+                count = room.take(found.machine.zone, min(left, found.count))
+                if count <= 0:
+                    continue
+                chosen.append(found.at_most(count))
+                left -= count
                 total += found.cost / found.count
             if left > 0 and spec.gang:
                 continue
@@ -150,8 +170,11 @@
         for machine in machines:
             if zone is not None and machine.zone != zone:
                 continue
+            allowed = min(wanted, job.zone_allowance(machine.zone))
+            if allowed <= 0:
+                continue
             found = capacity_with_victims(
-                machine, job.spec, wanted, lambda victim: self.may_preempt(victim, job)
+                machine, job.spec, allowed, lambda victim: self.may_preempt(victim, job)
             )
             if found.count:
                 options.append(found)
@@ -179,11 +202,12 @@
                     options.append(FutureCapacity(wait_s, machine, count))
             options.sort(key=lambda option: (option.wait_s, option.machine.name))
             chosen, left = [], spec.tasks
+            room = ZoneRoom(job)
             for option in options:
-                if left <= 0:
-                    break
-                chosen.append(option)
-                left -= option.count
+                count = room.take(option.machine.zone, min(left, option.count))
+                if count > 0:
+                    chosen.append(option)
+                    left -= count
             if left <= 0 and (best is None or chosen[-1].wait_s < best[-1].wait_s):
                 best = chosen
         if best is not None:
--- a/peathall/placement/views.py
+++ b/peathall/placement/views.py
@@ -214,6 +214,18 @@
     # Machine -> pending tasks for which capacity is reserved there.
     reservations: Mapping[str, int] = field(default_factory=dict)
 
+    def zone_allowance(self, zone: str) -> int:
+        """How many more of its tasks its `one_zone` and `spread` rules allow in the zone."""
+        spec = self.spec
+        if not (spec.one_zone or spec.spread):
+            return spec.tasks
+        used = {name: count for name, count in self.running_zones.items() if count > 0}
+        if spec.one_zone and used and zone not in used:
+            return 0
+        if spec.spread:
+            return (spec.tasks + 1) // 2 - used.get(zone, 0)
+        return spec.tasks
+
     @property
     def may_preempt(self) -> bool:
         """Whether attempts may be preempted and machines provisioned for the job."""
--- a/tests/unit/test_planner.py
+++ b/tests/unit/test_planner.py
@@ -379,6 +379,26 @@
     assert [(job_id, str(error)) for job_id, error in plan.failed] == [("j-1", "a fault")]
 
 
+def test_no_capacity_is_kept_for_tasks_that_may_not_start_in_that_zone() -> None:
+    """Regression: half of the replicas of a service with `scatter` ran in a zone. For the others,
+    which may not start there, the rest of the zone was kept, and tasks were preempted, as long
+    as no other zone had a machine."""
+    service = spec(id="j-1", daemon=True, spread=True, tasks=4, cpus=4.0, priority=1)
+    victim = Victim(spec(id="j-9", cpus=2.0, priority=3), 0, "m-0", False, 1.0, 60.0)
+    for zones, started in (({"a": 2}, ["j-2"] * 4), ({"a": 1, "b": 2}, [])):
+        view = machine("m-0", (8.0, 0.0, 16.0))
+        view.free = [4.0, 0.0, 16.0]
+        view.load_detail = lambda: MachineDetail(victims=[victim])
+        replicas = JobView(service, 2, running_zones=dict(zones))
+        other = JobView(spec(id="j-2", tasks=4, priority=2), 4, urgent=False)
+        plan = make_plan([replicas, other], [view], TEAMS, {})
+        if started:
+            assert plan.stops == []
+            assert [a.job for a in plan.assignments for _ in range(a.count)] == started
+        else:
+            assert [a.job for a in plan.assignments] == ["j-1"]
+
+
 def test_tasks_that_have_waited_for_long_fill_one_machine_that_is_kept_for_a_gang() -> None:
     """Regression: an array waited for 128 s beside idle machines that were kept for a next gang."""
     gang = spec(id="j-9", gang=True, tasks=3, cpus=4.0, priority=2)
