--- a/tests/sim/drawn_days.py
+++ b/tests/sim/drawn_days.py
@@ -76,13 +76,13 @@
 def draw_day(seed: int) -> DrawnDay:
     """Draws a day; everything random about it comes from this seed."""
     rng = random.Random(seed)
-    lowered = rng.random() < 0.5
+    has_array = rng.random() < 0.5
     return DrawnDay(
         seed,
         rng,
-        lowered,
-        machines=rng.choice([2, 2, 3, 5, 10]),
-        array=draw_array(rng) if rng.random() < 0.4 else None,
+        lowered_limits=rng.random() < (0.8 if has_array else 0.3),
+        machines=rng.choice([2, 3, 4, 8]),
+        array=draw_array(rng) if has_array else None,
         service=draw_service(rng),
     )
 
@@ -90,12 +90,12 @@
 def draw_array(rng: random.Random) -> dict[str, Any]:
     """A long array. Some of its tasks take much longer than those between them, so that what is
     left after a while has scattered numbers."""
-    period = rng.randint(2, 4)
+    period = rng.randint(2, 3)
     run_s = [rng.uniform(2.0, 8.0) for _ in range(period)]
     run_s[rng.randrange(period)] = rng.uniform(50.0, 110.0)
     return draw_job(rng, 9001) | {
         "id": ARRAY, "shape": "sweep", "desk": "red", "precedence": "standard",
-        "parcels": rng.randint(400, 1200), "vcpus": 0.02, "cards": 0.0, "ram_gb": 0.1,
+        "parcels": rng.randint(600, 1200), "vcpus": 0.01, "cards": 0.0, "ram_gb": 0.05,
         "builds": ["big"], "ward": None, "together": False, "scatter": False, "standby": False,
         "image_gb": 0.2, "tally_s": 0.0, "reckon_s": 30.0, "run_s": run_s,
     }  # fmt: skip
@@ -181,7 +181,10 @@
 
 
 def machine_stops(day: DrawnDay, world: World) -> float:
-    worker = draw_worker(day, world, lambda worker: bool(worker.tasks))
+    """A machine stops, preferably one with tasks of the array."""
+    worker = draw_worker(
+        day, world, lambda worker: any(task.job_id == ARRAY for task in worker.tasks.values())
+    )
     if worker is not None:
         day.note(world, f"machine {worker.name} stops with {len(worker.tasks)} tasks")
         worker.die()
@@ -244,13 +247,24 @@
     number = 0
     while world.loop.now < TROUBLES_UNTIL_S:
         number += 1
-        job = draw_job(day.rng, number) | {"image_gb": 0.2, "cards": 0.0, "builds": None}
+        job = draw_small_job(day.rng, number)
         if world.can_run(job):
             cancel_after = day.rng.uniform(0.0, 15.0) if day.rng.random() < 0.2 else None
             world.submit(job, f"10.9.{3 + number // 250}.{number % 250 + 1}", cancel_after)
         await asyncio.sleep(day.rng.expovariate(1.0))
 
 
+def draw_small_job(rng: random.Random, number: int) -> dict[str, Any]:
+    """A job of one or a few tasks. All jobs need machines of one type, which the cloud has few of;
+    some of them fill much of one for long."""
+    is_long = rng.random() < 0.15
+    return draw_job(rng, number) | {
+        "cards": 0.0, "image_gb": 0.2, "builds": ["big"], "ward": rng.choice([None, "a", "b"]),
+        "vcpus": rng.choice([1.0, 2.0, 4.0, 8.0]) if is_long else 1.0,
+        "run_s": rng.uniform(40.0, 150.0) if is_long else rng.uniform(2.0, 12.0),
+    }  # fmt: skip
+
+
 async def check_answers(day: DrawnDay, world: World, index: int) -> None:
     """The controller confirms a cancellation, and answers a heartbeat or redirects it."""
     job = draw_job(day.rng, 9100 + index) | {"builds": None, "ward": None, "cards": 0.0}
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -16,10 +16,12 @@
 from peathall.config.platform import Team
 from peathall.placement.job_views import JobViews, is_starving
 from peathall.placement.ordering import gang_starving_bonus_s, job_sort_key
+from peathall.placement.placement import Placement
 from peathall.placement.plan import Assignment, Plan
 from peathall.placement.planner import Round
 from peathall.placement.views import JobView
 from peathall.protocol.cloud import MachineType
+from peathall.workers.workers import Workers
 from tests.unit.test_planner import spec
 from tests.unit.test_workers import new_placement, new_workers
 
@@ -37,6 +39,15 @@
     return machine
 
 
+def placement_of_small_machines(now: float) -> tuple[Workers, Placement]:
+    """Placement in a cluster of machines with 4 CPUs and 16 GB, which writes nothing."""
+    workers = new_workers(now)
+    workers.cluster.types = {
+        "g": MachineType("g", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])
+    }
+    return workers, new_placement(workers, SimpleNamespace(versions={}))
+
+
 def test_the_first_start_of_a_starving_job_is_not_preempted_and_does_not_reset_its_wait() -> None:
     """Regression: a starving gang was preempted 0.3 s after its start and waited for another 350 s,
     since the start had reset its wait although none of its tasks had run."""
@@ -144,10 +155,8 @@
 
     async def run() -> None:
         now = asyncio.get_running_loop().time()
-        workers = new_workers(now)
+        workers, placement = placement_of_small_machines(now)
         cluster = workers.cluster
-        cluster.types = {"g": MachineType("g", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])}
-        placement = new_placement(workers, SimpleNamespace(versions={}))
         job = cluster.jobs["j-1"] = Job(spec(tasks=5, submitted=9.0), now)
         for number, name in enumerate(("m-1", "m-2"), 1):
             machine = add_schedulable_machine(cluster, name, "a", now)
@@ -181,10 +190,8 @@
 
     async def run() -> None:
         now = asyncio.get_running_loop().time()
-        workers = new_workers(now)
+        workers, placement = placement_of_small_machines(now)
         cluster = workers.cluster
-        cluster.types = {"g": MachineType("g", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])}
-        placement = new_placement(workers, SimpleNamespace(versions={}))
         placement.snapshot.teams = {"t": Team("t", cpus_max=2.0)}
         lost = add_schedulable_machine(cluster, "m-1", "b", now)
         add_schedulable_machine(cluster, "m-2", "a", now)
@@ -241,10 +248,8 @@
 
     async def run() -> None:
         now = asyncio.get_running_loop().time()
-        workers = new_workers(now)
+        workers, placement = placement_of_small_machines(now)
         cluster = workers.cluster
-        cluster.types = {"g": MachineType("g", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])}
-        placement = new_placement(workers, SimpleNamespace(versions={}))
         machine = add_schedulable_machine(cluster, "m-1", "a", now)
         overdue = cluster.jobs["j-1"] = Job(spec(id="j-1", cpus=1.0, priority=0), now)
         attempt = cluster.allocate(overdue, 0, 1, machine, "round/1")
@@ -361,10 +366,8 @@
 
     async def run() -> None:
         now = asyncio.get_running_loop().time()
-        workers = new_workers(now)
+        workers, placement = placement_of_small_machines(now)
         cluster = workers.cluster
-        cluster.types = {"g": MachineType("g", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 1.0, 30.0, ["a"])}
-        placement = new_placement(workers, SimpleNamespace(versions={}))
         add_schedulable_machine(cluster, "m-1", "a", now)
         for job_id in ("j-1", "j-2", "j-3"):
             cluster.jobs[job_id] = Job(spec(id=job_id), now)
