--- a/peathall/http/server.py
+++ b/peathall/http/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections import deque
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
 from http import HTTPStatus
@@ -48,6 +49,8 @@
         self.body: list[bytes] = []
         self.size = 0  # bytes of the request so far, headers included
         self.pipelined: list[bytes] = []  # data received while the handler runs
+        # Requests that wait for the one being served, each with whether to keep the connection.
+        self.waiting: deque[tuple[Request, bool]] = deque()
 
     def _enter(self, phase: ConnectionPhase) -> None:
         if self.phase is not ConnectionPhase.CLOSED:
@@ -114,12 +117,18 @@
 
     def on_message_complete(self) -> None:
         """httptools: the request is complete."""
-        if self.phase is not ConnectionPhase.READING:
+        if self.phase is ConnectionPhase.CLOSED:
             return
         body = b"".join(self.body)
         path, _, query = self.url.decode("latin-1").partition("?")
         request = Request(self.parser.get_method().decode("latin-1"), unquote(path), query, body)
         keep_alive = self.parser.should_keep_alive()
+        if self.phase is ConnectionPhase.SERVING:
+            self.waiting.append((request, keep_alive))  # it came in the segment of another request
+        else:
+            self._begin_serving(request, keep_alive)
+
+    def _begin_serving(self, request: Request, keep_alive: bool) -> None:
         self._enter(ConnectionPhase.SERVING)
         self.task = self.server.loop.create_task(self._serve(request, keep_alive))
 
@@ -146,6 +155,9 @@
             self.transport.close()
             self._enter(ConnectionPhase.CLOSED)
             return
+        if self.waiting:
+            self._begin_serving(*self.waiting.popleft())
+            return
         self.size = 0
         self._enter(ConnectionPhase.IDLE)
         pipelined, self.pipelined = self.pipelined, []
--- a/tests/sim/test_http.py
+++ b/tests/sim/test_http.py
@@ -161,3 +161,28 @@
             assert (response.retry_after is not None) == (status == 503)
 
     run_scenario(scenario)
+
+
+def test_requests_in_one_segment_are_answered_in_order() -> None:
+    """Regression: the second of two requests that arrived together was dropped."""
+
+    async def scenario(loop: VirtualLoop) -> None:
+        async def slowly_first(request: Request) -> Response:
+            await asyncio.sleep(1.0 if request.path == "/1" else 0.0)
+            return Response(200, request.path.encode())
+
+        await HttpServer(slowly_first, 10).start("10.0.0.1", 80)
+        requests = b"".join(b"GET /%d HTTP/1.1\r\nHost: x\r\n\r\n" % n for n in (1, 2, 3))
+        connection = await connect_and_send(loop, requests + b"GET /4 HTTP/1.1\r\n")
+        await asyncio.sleep(2.0)
+        bodies = [part.rpartition(b"\r\n\r\n")[2] for part in connection.data.split(b"HTTP/1.1")]
+        assert bodies[1:] == [b"/1", b"/2", b"/3"]
+        assert not connection.closed
+
+    run_scenario(scenario)
+
+
+def test_every_status_has_its_reason() -> None:
+    """Regression: 403 went out as "403 Status"."""
+    assert Response(403).encode().startswith(b"HTTP/1.1 403 Forbidden\r\n")
+    assert Response(599).encode().startswith(b"HTTP/1.1 599 \r\n")
