A response of the state service that is no map is a failed request

Cause: reading a field of it raised AttributeError, TypeError or KeyError, which no loop handles. Change: StoreClient raises OutcomeUnknownError; decode_error takes any body. The 20 new tests fail without the change.

--- a/peathall/protocol/errors.py
+++ b/peathall/protocol/errors.py
@@ -11,5 +11,5 @@
 
 
 def decode_error(raw: Any) -> str:
-    """The reason in the body of an error response; empty if it has none."""
-    return str((raw or {}).get("error", ""))
+    """The reason in the body of an error response; empty if it has none or is no map."""
+    return str(raw.get("error", "")) if isinstance(raw, dict) else ""
--- a/peathall/protocol/state_service.py
+++ b/peathall/protocol/state_service.py
@@ -25,6 +25,8 @@
 
 from msgspec import Struct
 
+from peathall.protocol.errors import decode_error
+
 COMMIT_PATH = "/commit"
 LEASES_PATH = "/leases"
 SCAN_PAGE_SIZE = 1000  # records in one page of a scan
@@ -136,9 +138,9 @@
     return list(raw["failed"])
 
 
-def is_ended_lease_error(raw: dict[str, Any] | None) -> bool:
+def is_ended_lease_error(raw: Any) -> bool:
     """Whether a transaction was rejected as invalid because a lease in it has ended."""
-    return "lease" in str((raw or {}).get("error", ""))
+    return "lease" in decode_error(raw)
 
 
 def lease_from_wire(raw: dict[str, Any]) -> int:
--- a/peathall/store/client.py
+++ b/peathall/store/client.py
@@ -89,10 +89,13 @@
         self.last_response_at = self.loop.time()
         self.failing = False
         try:
-            return StoreResponse(status, codec.decode_cbor(raw))
+            body = codec.decode_cbor(raw)
         # Malformed bytes make the decoder raise various errors: recursion, memory, value.
         except Exception as exc:
             raise OutcomeUnknownError(f"malformed response of the state service: {exc}") from None
+        if body is not None and not isinstance(body, dict):
+            raise OutcomeUnknownError("malformed response of the state service: not a map")
+        return StoreResponse(status, body)
 
     async def get(self, key: str, prioritized: bool = False) -> KeyValue | None:
         """The record with this key, or None if it does not exist.
--- a/tests/unit/test_store.py
+++ b/tests/unit/test_store.py
@@ -7,6 +7,7 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
+import cbor2
 import pytest
 
 from peathall import constants
@@ -17,6 +18,7 @@
 from peathall.leadership.lease import HeldLease, fencing_token, first_number_of_term
 from peathall.placement.round_entries import RoundEntry, from_record, split_entries, to_record
 from peathall.protocol.codec import json_size, struct_to_builtins
+from peathall.protocol.errors import decode_error
 from peathall.protocol.state_service import KeyValue, Put, WatchEvent, transaction_to_wire
 from peathall.store.client import StoreClient
 from peathall.store.deferred_writes import DeferredWrites
@@ -460,6 +462,26 @@
     assert service.try_acquire(3, 10.6 + delay) == 0.0
 
 
+@pytest.mark.parametrize("body", [[], [1], "text", 3, True])
+@pytest.mark.parametrize("status", [200, 400, 404, 409])
+def test_a_response_that_is_no_map_is_an_unknown_outcome(status: int, body: Any) -> None:
+    """Regression: it raised AttributeError, which ended the leader's term."""
+
+    async def respond(*args: Any) -> tuple[int, bytes]:
+        return status, cbor2.dumps(body)
+
+    async def run() -> None:
+        client = StoreClient("10.0.0.1:1", LIMITS, 3)
+        client.http.request = respond  # type: ignore[method-assign]
+        with pytest.raises(OutcomeUnknownError):
+            await client.commit({}, [Put("k", {})])
+        with pytest.raises(OutcomeUnknownError):
+            await client.get("k")
+
+    asyncio.run(run())
+    assert decode_error(body) == ""
+
+
 def test_one_read_serves_all_queries_at_a_controller_without_a_leader() -> None:
     """When each query read two records, many queries at once used up the request rate limit."""
 
