--- a/peathall/placement/preemption.py
+++ b/peathall/placement/preemption.py
@@ -33,13 +33,19 @@
 
     def __init__(self, job: JobView) -> None:
         self._job = job
-        self._taken: dict[str, int] = {}
+        self._left: dict[str, int] = {}  # by zone; asked for each machine, so computed once
+
+    def left(self, zone: str) -> int:
+        """How many more tasks may be chosen in the zone."""
+        left = self._left.get(zone)
+        if left is None:
+            left = self._left[zone] = max(0, self._job.zone_allowance(zone))
+        return left
 
     def take(self, zone: str, wanted: int) -> int:
         """Choose up to `wanted` tasks in the zone; returns their number."""
-        taken = self._taken.get(zone, 0)
-        count = max(0, min(wanted, self._job.zone_allowance(zone) - taken))
-        self._taken[zone] = taken + count
+        count = min(wanted, self.left(zone))
+        self._left[zone] -= count
         return count
 
 
@@ -167,10 +173,11 @@
         """The machines, in `zone` or in all zones, on which a task would fit: those with scarce
         properties last, then by the cost of preemption per task."""
         options = []
+        room = ZoneRoom(job)
         for machine in machines:
             if zone is not None and machine.zone != zone:
                 continue
-            allowed = min(wanted, job.zone_allowance(machine.zone))
+            allowed = min(wanted, room.left(machine.zone))
             if allowed <= 0:
                 continue
             found = capacity_with_victims(
