--- a/peathall/http/message.py
+++ b/peathall/http/message.py
@@ -9,6 +9,7 @@
     HTTPStatus.OK: "OK",
     HTTPStatus.CREATED: "Created",
     HTTPStatus.BAD_REQUEST: "Bad Request",
+    HTTPStatus.FORBIDDEN: "Forbidden",
     HTTPStatus.NOT_FOUND: "Not Found",
     HTTPStatus.METHOD_NOT_ALLOWED: "Method Not Allowed",
     HTTPStatus.CONFLICT: "Conflict",
@@ -24,14 +25,6 @@
 _STATUS_LINES = {int(status): f"HTTP/1.1 {status:d} {REASONS[status]}" for status in REASONS}
 
 
-def _other_status_line(status: int) -> str:
-    """The status line of a status that the program does not use often."""
-    try:
-        return f"HTTP/1.1 {status:d} {HTTPStatus(status).phrase}"
-    except ValueError:
-        return f"HTTP/1.1 {status:d} "
-
-
 class Request:
     """A received request."""
 
@@ -65,7 +58,7 @@
 
     def encode(self) -> bytes:
         """The bytes that are sent."""
-        status_line = _STATUS_LINES.get(self.status) or _other_status_line(self.status)
+        status_line = _STATUS_LINES.get(self.status) or f"HTTP/1.1 {self.status:d} Status"
         head = (
             f"{status_line}\r\n"
             f"Content-Type: {self.content_type}\r\nContent-Length: {len(self.body)}\r\n"
